--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+STEPS ?= 20000
+
+.PHONY: demo test lint soak measure slopes latency
+
+$(VENV)/installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/python tools/demo.py
+
+test: $(VENV)/installed
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+soak: $(VENV)/installed
+	$(BIN)/python tools/soak.py --seed $(SEED) --steps $(STEPS)
+
+measure: $(VENV)/installed
+	$(BIN)/python tools/measure.py --seed $(SEED) $(if $(JSON),--json $(JSON))
+
+slopes: $(VENV)/installed
+	$(BIN)/python tools/slopes.py
+
+latency: $(VENV)/installed
+	$(BIN)/python tools/latency.py
--- /dev/null
+++ b/hickorywing/configapi.py
@@ -0,0 +1,249 @@
+"""The HTTP interface for operators: inventory, rules, zones, draining."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from blacksheep import Application
+from blacksheep import Request
+from blacksheep import Response
+import msgspec
+from returns.result import Failure
+
+from hickorywing.configuration import HeadChange
+from hickorywing.configuration import HeadRead
+from hickorywing.configwatch import ConfigurationWatch
+from hickorywing.filters import find_caller
+from hickorywing.filters import Role
+from hickorywing.inventory import check_inventory
+from hickorywing.jobapi import answer_findings
+from hickorywing.jobapi import forbid
+from hickorywing.jobapi import read_json
+from hickorywing.jobapi import table_problem
+from hickorywing.messages import Head
+from hickorywing.metrics import Metrics
+from hickorywing.policy.register import ACCEPT_WITHIN_S
+from hickorywing.policy.register import silence_to_wait_s
+from hickorywing.rules import check_rules
+from hickorywing.table import Conflict
+from hickorywing.table import TableUnavailable
+from hickorywing.table import Unknown
+from hickorywing.timeline import Timeline
+from hickorywing.web import add_route
+from hickorywing.web import answer_json
+from hickorywing.web import answer_problem
+from hickorywing.web import find_header
+from hickorywing.web import Problem
+
+__all__ = ["ConfigurationApi"]
+
+CHANGE_RETRY_S = 5.0
+SETTLE_CHECK_S = 0.02
+
+
+class ChangeAnswer(msgspec.Struct):
+    """An accepted change and who has it in force."""
+
+    version: int
+    in_force: list[str]
+    not_confirmed: list[str]
+    waited_s: float
+
+
+class HeadAnswer(msgspec.Struct):
+    """The present configuration."""
+
+    head: Head
+    inventory: object
+    rules: object
+
+
+class ConfigurationApi:
+    """Handles operators' changes, one table commit each."""
+
+    def __init__(
+        self,
+        watch: ConfigurationWatch,
+        metrics: Metrics,
+        timeline: Timeline,
+    ) -> None:
+        self.watch = watch
+        self.store = watch.store
+        self.metrics = metrics
+        self.timeline = timeline
+
+    def add_routes(self, app: Application) -> None:
+        """Add the handlers to an application."""
+        add_route(app, "GET", "/v1/config", self.show)
+        add_route(app, "PUT", "/v1/inventory", self.put_inventory)
+        add_route(app, "PUT", "/v1/rules", self.put_rules)
+        add_route(app, "POST", "/v1/zones/{zone}/{state}", self.set_zone)
+        add_route(
+            app, "POST", "/v1/backends/{name}/{state}", self.set_draining
+        )
+
+    async def show(self, request: Request) -> Response:
+        """Return the configuration that this entry has in force."""
+        if find_caller(request).role is not Role.OPERATOR:
+            return forbid("operators only")
+        documents = self.watch.documents
+        return answer_json(
+            200,
+            HeadAnswer(
+                Head.from_policy(self.watch.register.head),
+                documents.inventory.model_dump(),
+                documents.rules.model_dump(),
+            ),
+        )
+
+    async def put_inventory(self, request: Request) -> Response:
+        """Check and store an inventory."""
+        checked = check_inventory(await read_json(request))
+        if isinstance(checked, Failure):
+            return answer_findings(checked.failure())
+        inventory = checked.unwrap()
+
+        async def change(base: HeadRead) -> HeadChange | Response:
+            documents = await self.store.read_documents(base.head)
+            rules = check_rules(documents.rules.model_dump(), inventory)
+            if isinstance(rules, Failure):
+                return answer_findings(rules.failure())
+            return await self.store.put_inventory(base, inventory)
+
+        return await self._change(request, "inventory", change, None)
+
+    async def put_rules(self, request: Request) -> Response:
+        """Check rules against the inventory and store them."""
+        data = await read_json(request)
+
+        async def change(base: HeadRead) -> HeadChange | Response:
+            documents = await self.store.read_documents(base.head)
+            rules = check_rules(data, documents.inventory)
+            if isinstance(rules, Failure):
+                return answer_findings(rules.failure())
+            return await self.store.put_rules(base, rules.unwrap())
+
+        return await self._change(request, "rules", change, None)
+
+    async def set_zone(
+        self, request: Request, zone: str, state: str
+    ) -> Response:
+        """Take a zone out or bring it back."""
+        if state not in ("out", "in"):
+            return answer_problem(Problem("no such state", 404, state))
+
+        async def change(base: HeadRead) -> HeadChange | Response:
+            documents = await self.store.read_documents(base.head)
+            if zone not in documents.inventory.zones:
+                known = ", ".join(documents.inventory.zones)
+                return answer_problem(
+                    Problem("no such zone", 404, f"one of {known}")
+                )
+            return await self.store.set_zone(base, zone, state == "in")
+
+        must_stop = zone if state == "out" else None
+        return await self._change(
+            request, f"{zone} {state}", change, must_stop
+        )
+
+    async def set_draining(
+        self, request: Request, name: str, state: str
+    ) -> Response:
+        """Drain a backend server or let it take work again."""
+        if state not in ("drain", "resume"):
+            return answer_problem(Problem("no such state", 404, state))
+
+        async def change(base: HeadRead) -> HeadChange | Response:
+            if name not in self.watch.known_agents():
+                return answer_problem(Problem("no such agent", 404, name))
+            return await self.store.set_draining(base, name, state == "drain")
+
+        return await self._change(request, f"{name} {state}", change, None)
+
+    async def _change(
+        self,
+        request: Request,
+        what: str,
+        change: Callable[[HeadRead], Awaitable[HeadChange | Response]],
+        zone_to_stop: str | None,
+    ) -> Response:
+        """Try a change once and answer when it is in force."""
+        if find_caller(request).role is not Role.OPERATOR:
+            return forbid("operators only")
+        wanted = find_header(request.headers, b"if-match")
+        try:
+            base = await self.store.read_head()
+            if wanted is not None and wanted != str(base.head.version):
+                return conflict_problem(base.head.version)
+            sent_at = self.watch.clock()
+            result = await change(base)
+        except TableUnavailable:
+            return answer_problem(table_problem())
+        if isinstance(result, Response):
+            return result
+        if not result.accepted:
+            return await self._explain_refusal(result)
+        self.metrics.count("config_changes")
+        self.timeline.record(
+            "configuration accepted", f"version {result.head.version}", what
+        )
+        self.watch.adopt(result.head, sent_at)
+        return await self._wait_in_force(result.head.version, zone_to_stop)
+
+    async def _explain_refusal(self, result: HeadChange) -> Response:
+        if isinstance(result.answer, Conflict):
+            self.metrics.count("config_conflicts")
+            return conflict_problem(await self._present_version())
+        if isinstance(result.answer, Unknown):
+            return answer_problem(
+                Problem(
+                    "outcome unknown",
+                    504,
+                    "the change may have been accepted",
+                    "unknown",
+                    CHANGE_RETRY_S,
+                )
+            )
+        return answer_problem(table_problem())
+
+    async def _present_version(self) -> int | None:
+        try:
+            return (await self.store.read_head()).head.version
+        except TableUnavailable:
+            return None
+
+    async def _wait_in_force(
+        self, version: int, zone_to_stop: str | None
+    ) -> Response:
+        """Wait for confirmations; for a zone out, until it is safe."""
+        clock = self.watch.clock
+        started = clock()
+        limit = ACCEPT_WITHIN_S
+        if zone_to_stop is not None:
+            limit = silence_to_wait_s()
+        missing = self.watch.missing(version, zone_to_stop)
+        while missing and clock() - started < limit:
+            await asyncio.sleep(SETTLE_CHECK_S)
+            missing = self.watch.missing(version, zone_to_stop)
+        return answer_json(
+            200,
+            ChangeAnswer(
+                version,
+                self.watch.confirmed(version),
+                missing,
+                round(clock() - started, 3),
+            ),
+        )
+
+
+def conflict_problem(version: int | None) -> Response:
+    """Return the refusal for an operator who was overtaken."""
+    return answer_problem(
+        Problem(
+            "another change came first",
+            409,
+            f"the present version is {version}",
+            version=version,
+            retry_after_s=1.0,
+        )
+    )
--- /dev/null
+++ b/hickorywing/configwatch.py
@@ -0,0 +1,155 @@
+"""Follow the configuration in the table and spread it from an entry."""
+
+import asyncio
+from collections.abc import Callable
+
+from hickorywing.configuration import ConfigurationStore
+from hickorywing.configuration import Documents
+from hickorywing.findings import FindingsError
+from hickorywing.mailbox import Mailbox
+from hickorywing.messages import AgentInfo
+from hickorywing.messages import Head
+from hickorywing.messages import HeadPush
+from hickorywing.metrics import Metrics
+from hickorywing.policy.register import ConfigurationHead
+from hickorywing.policy.register import ConfigurationRegister
+from hickorywing.table import TableUnavailable
+from hickorywing.timeline import Timeline
+
+__all__ = ["ConfigurationWatch"]
+
+MAX_READS_AT_ONCE = 8
+PUSH_AGAIN_S = 0.5
+
+
+class ConfigurationWatch:
+    """The configuration register of one entry, fed by reads of the table.
+
+    Reads overlap, so that a slow table still confirms the configuration
+    several times a second; each confirms it as of when it was sent.
+    """
+
+    def __init__(
+        self,
+        store: ConfigurationStore,
+        mailbox: Mailbox,
+        peers: Callable[[], list[AgentInfo]],
+        poll_s: float,
+        metrics: Metrics,
+        timeline: Timeline,
+        clock: Callable[[], float],
+    ) -> None:
+        self.store = store
+        self.mailbox = mailbox
+        self.peers = peers
+        self.poll_s = poll_s
+        self.metrics = metrics
+        self.timeline = timeline
+        self.clock = clock
+        self.register = ConfigurationRegister()
+        self.documents = Documents.empty()
+        self._documents_of = (0, 0)
+        self._seen: dict[str, int] = {}
+        self._reads: set[asyncio.Task[None]] = set()
+        self._pushed_at = 0.0
+
+    async def run(self) -> None:
+        """Poll the head until cancelled."""
+        while True:
+            if len(self._reads) < MAX_READS_AT_ONCE:
+                task = asyncio.create_task(self._read_once())
+                self._reads.add(task)
+                task.add_done_callback(self._reads.discard)
+            self._push_again()
+            await asyncio.sleep(self.poll_s)
+
+    async def _read_once(self) -> None:
+        sent_at = self.clock()
+        try:
+            read = await self.store.read_head()
+        except TableUnavailable:
+            self.metrics.count("config_reads_failed")
+            return
+        self.adopt(read.head, sent_at)
+        await self._load_documents()
+
+    async def _load_documents(self) -> None:
+        head = self.register.head
+        versions = (head.inventory_version, head.rules_version)
+        if versions == self._documents_of:
+            return
+        try:
+            documents = await self.store.read_documents(head)
+        except (TableUnavailable, FindingsError):
+            self.metrics.count("config_documents_unread")
+            return
+        if versions >= self._documents_of:
+            self.documents = documents
+            self._documents_of = versions
+
+    def adopt(self, head: ConfigurationHead, confirmed_at: float) -> None:
+        """Take in a head and push it on when it is new."""
+        if not self.register.adopt(head, confirmed_at):
+            return
+        self.timeline.record(
+            "configuration adopted", f"version {head.version}"
+        )
+        self.metrics.set("config_version", head.version)
+        self._push(self.peers())
+
+    def _push(self, peers: list[AgentInfo]) -> None:
+        self._pushed_at = self.clock()
+        push = HeadPush(Head.from_policy(self.register.head))
+        for info in peers:
+            self.mailbox.send(info.control, push)
+
+    def _push_again(self) -> None:
+        """Repeat the push to those that have not confirmed it."""
+        if self.clock() - self._pushed_at < PUSH_AGAIN_S:
+            return
+        version = self.register.head.version
+        late = [
+            info
+            for info in self.peers()
+            if self._seen.get(info.name, 0) < version
+        ]
+        if late:
+            self._push(late)
+
+    def note_seen(self, name: str, version: int) -> None:
+        """Note that a process has a version in force."""
+        if version > self._seen.get(name, 0):
+            self._seen[name] = version
+
+    def forget(self, name: str) -> None:
+        """Drop a process that is gone."""
+        self._seen.pop(name, None)
+
+    def known_agents(self) -> set[str]:
+        """Return the names of all agents present."""
+        return {info.name for info in self.peers()}
+
+    def confirmed(self, version: int) -> list[str]:
+        """Return the processes that have a version in force."""
+        return sorted(
+            name for name, seen in self._seen.items() if seen >= version
+        )
+
+    def missing(self, version: int, zone: str | None) -> list[str]:
+        """Return the processes that have not confirmed a version.
+
+        With a zone, every worker that the inventory has there must have an
+        agent that confirmed it, known to this entry or not.
+        """
+        names = set()
+        workers = {}
+        for info in self.peers():
+            names.add(info.name)
+            if info.worker_id:
+                workers[info.worker_id] = info.name
+        found = [name for name in names if self._seen.get(name, 0) < version]
+        if zone is not None:
+            for spec in self.documents.inventory.specs(zone):
+                if spec.worker_id not in workers:
+                    found.append(f"worker {spec.worker_id}")
+        return sorted(found)
--- /dev/null
+++ b/hickorywing/jobapi.py
@@ -0,0 +1,389 @@
+"""The HTTP interface for jobs: submit, look up, list and cancel."""
+
+import asyncio
+from collections.abc import Callable
+import time
+from typing import Any
+import uuid
+
+from blacksheep import Application
+from blacksheep import Request
+from blacksheep import Response
+import json5
+import msgspec
+from pydantic import Field
+from returns.result import Failure
+
+from hickorywing.documents import check_model
+from hickorywing.documents import Model
+from hickorywing.filters import Caller
+from hickorywing.filters import find_caller
+from hickorywing.filters import Role
+from hickorywing.jobs import inbox_key
+from hickorywing.jobs import job_key
+from hickorywing.jobs import JobRow
+from hickorywing.jobs import own_key
+from hickorywing.metrics import Metrics
+from hickorywing.policy.model import Adjacency
+from hickorywing.policy.model import JobSpec
+from hickorywing.table import Check
+from hickorywing.table import commit_surely
+from hickorywing.table import Committed
+from hickorywing.table import Conflict
+from hickorywing.table import new_nonce
+from hickorywing.table import Row
+from hickorywing.table import Table
+from hickorywing.table import TableUnavailable
+from hickorywing.table import Transaction
+from hickorywing.table import Unknown
+from hickorywing.table import Write
+from hickorywing.web import add_route
+from hickorywing.web import answer_json
+from hickorywing.web import answer_problem
+from hickorywing.web import Problem
+
+__all__ = ["JobApi", "JobRequest"]
+
+COMMIT_PATIENCE_S = 8.0
+TABLE_RETRY_S = 5.0
+MAX_CANCELS = 1000
+CANCEL_BATCH = 25
+MAX_TASKS = 64
+MAX_CONFLICTS = 5
+
+
+class JobRequest(Model):
+    """A job as its caller asks for it."""
+
+    id: str | None = Field(default=None, pattern=r"^[A-Za-z0-9_.-]{1,64}$")
+    tasks: int = Field(default=1, ge=1, le=MAX_TASKS)
+    accelerators: int = Field(default=0, ge=0, le=16)
+    cores: float = Field(default=1.0, gt=0, le=4096)
+    memory_gb: float = Field(default=1.0, gt=0, le=65536)
+    adjacency: Adjacency = Adjacency.ZONE
+    run_s: float = Field(default=60.0, gt=0, le=30 * 86400)
+    actual_run_s: float | None = Field(default=None, gt=0)
+    urgent: bool = False
+
+    def to_spec(self, job_id: str, customer: str) -> JobSpec:
+        """Return the form that the decisions use."""
+        return JobSpec(
+            job_id,
+            customer,
+            self.tasks,
+            self.accelerators,
+            self.cores,
+            self.memory_gb,
+            self.adjacency,
+            self.run_s,
+            self.urgent,
+        )
+
+
+class CancelRequest(Model):
+    """Jobs to cancel; none named means all of the caller's."""
+
+    ids: tuple[str, ...] = Field(default=(), max_length=MAX_CANCELS)
+
+
+class JobView(msgspec.Struct, omit_defaults=True):
+    """A job as its caller sees it."""
+
+    id: str
+    status: str
+    zone: str
+    attempt: int
+    tasks: int
+    accelerators: int
+    cancel_requested: bool = False
+    guaranteed: bool = False
+    workers: list[str] = []
+    reason: str = ""
+    kept_s: float = 0.0
+
+
+class CancelAnswer(msgspec.Struct):
+    """Which cancellations were written, and which not."""
+
+    cancelled: list[str]
+    ended_already: list[str]
+    not_written: list[str]
+
+
+def view_job(row: JobRow) -> JobView:
+    """Return what a caller may see of a row."""
+    return JobView(
+        row.job_id,
+        row.status,
+        row.home,
+        row.attempt,
+        row.tasks,
+        row.accelerators,
+        row.cancel_requested,
+        row.guaranteed,
+        sorted({task.worker_id for task in row.placement}),
+        row.reason,
+        row.kept_s,
+    )
+
+
+class JobApi:
+    """Handles requests about jobs; state lives in the table."""
+
+    def __init__(
+        self,
+        table: Table,
+        metrics: Metrics,
+        check_job: Callable[[JobSpec], str | None],
+        choose_zone: Callable[[JobSpec], str | None],
+        notify: Callable[[str, str], None],
+    ) -> None:
+        self.table = table
+        self.metrics = metrics
+        self.check_job = check_job
+        self.choose_zone = choose_zone
+        self.notify = notify
+
+    def add_routes(self, app: Application) -> None:
+        """Add the handlers to an application."""
+        add_route(app, "POST", "/v1/jobs", self.submit)
+        add_route(app, "GET", "/v1/jobs", self.list_jobs)
+        add_route(app, "GET", "/v1/jobs/{job_id}", self.show)
+        add_route(app, "POST", "/v1/jobs/{job_id}/cancel", self.cancel_one)
+        add_route(app, "POST", "/v1/cancellations", self.cancel_many)
+
+    async def submit(self, request: Request) -> Response:
+        """Accept a job, or refuse it with all reasons."""
+        caller = find_caller(request)
+        if caller.role is not Role.CUSTOMER:
+            return forbid("only customers submit jobs")
+        checked = check_model(await read_json(request), JobRequest, "job")
+        if isinstance(checked, Failure):
+            return answer_findings(checked.failure())
+        wanted = checked.unwrap()
+        job_id = f"{caller.name}.{wanted.id or uuid.uuid4().hex[:12]}"
+        spec = wanted.to_spec(job_id, caller.name)
+        reason = self.check_job(spec)
+        if reason is not None:
+            self.metrics.count("jobs_refused")
+            return answer_problem(
+                Problem("the job can never run", 422, reason)
+            )
+        zone = self.choose_zone(spec)
+        if zone is None:
+            return answer_problem(
+                Problem(
+                    "no zone is in service", 503, retry_after_s=TABLE_RETRY_S
+                )
+            )
+        return await self._commit(wanted, spec, zone)
+
+    async def _commit(
+        self, wanted: JobRequest, spec: JobSpec, zone: str
+    ) -> Response:
+        now = time.time()
+        row = JobRow(
+            spec.job_id,
+            spec.customer,
+            spec.tasks,
+            spec.accelerators,
+            spec.cores,
+            spec.memory_gb,
+            spec.adjacency,
+            spec.declared_run_s,
+            spec.urgent,
+            zone,
+            submitted_at=now,
+            changed_at=now,
+            run_s=wanted.actual_run_s,
+        )
+        transaction = Transaction(
+            [Check(job_key(spec.job_id), 0)], row.submit_writes(), new_nonce()
+        )
+        answer = await commit_surely(
+            self.table, transaction, COMMIT_PATIENCE_S
+        )
+        if isinstance(answer, Committed):
+            self.metrics.count("jobs_accepted")
+            self.notify(zone, spec.job_id)
+            return answer_json(201, view_job(row))
+        if isinstance(answer, Conflict):
+            return self._answer_repeat(answer.rows[0], spec)
+        if isinstance(answer, Unknown):
+            return answer_problem(
+                Problem(
+                    "outcome unknown",
+                    504,
+                    f"look up {spec.job_id}",
+                    "unknown",
+                    TABLE_RETRY_S,
+                )
+            )
+        return answer_problem(table_problem())
+
+    def _answer_repeat(self, row: Row, spec: JobSpec) -> Response:
+        known = JobRow.from_value(row.value)
+        if known.to_spec() != spec:
+            return answer_problem(
+                Problem("another job has this id", 409, spec.job_id)
+            )
+        return answer_json(200, view_job(known))
+
+    async def show(self, request: Request, job_id: str) -> Response:
+        """Return one job's state."""
+        caller = find_caller(request)
+        try:
+            row = await self.table.read(job_key(job_id))
+        except TableUnavailable:
+            return answer_problem(table_problem())
+        if row.value is None or not may_see(caller, row):
+            return answer_problem(Problem("no such job", 404, job_id))
+        return answer_json(200, view_job(JobRow.from_value(row.value)))
+
+    async def list_jobs(self, request: Request) -> Response:
+        """Return the caller's jobs."""
+        caller = find_caller(request)
+        prefix = (
+            "own/"
+            if caller.role is Role.OPERATOR
+            else (own_key(caller.name, ""))
+        )
+        try:
+            owned = await self.table.scan(prefix)
+            keys = [job_key(row.key.rsplit("/", 1)[1]) for row in owned]
+            rows = []
+            for start in range(0, len(keys), 200):
+                rows += await self.table.read_many(keys[start : start + 200])
+        except TableUnavailable:
+            return answer_problem(table_problem())
+        views = [
+            view_job(JobRow.from_value(row.value))
+            for row in rows
+            if row.value is not None
+        ]
+        return answer_json(200, views)
+
+    async def cancel_one(self, request: Request, job_id: str) -> Response:
+        """Cancel one job."""
+        return await self._cancel(find_caller(request), [job_id])
+
+    async def cancel_many(self, request: Request) -> Response:
+        """Cancel many jobs, or all of the caller's."""
+        caller = find_caller(request)
+        checked = check_model(
+            await read_json(request), CancelRequest, "cancellation"
+        )
+        if isinstance(checked, Failure):
+            return answer_findings(checked.failure())
+        ids = list(checked.unwrap().ids)
+        if not ids:
+            if caller.role is not Role.CUSTOMER:
+                return forbid("name the jobs to cancel")
+            try:
+                owned = await self.table.scan(own_key(caller.name, ""))
+            except TableUnavailable:
+                return answer_problem(table_problem())
+            ids = [row.key.rsplit("/", 1)[1] for row in owned]
+        return await self._cancel(caller, ids)
+
+    async def _cancel(self, caller: Caller, ids: list[str]) -> Response:
+        """Mark jobs as cancelled, several rows in one transaction."""
+        result = CancelAnswer([], [], [])
+        batches = [
+            ids[start : start + CANCEL_BATCH]
+            for start in range(0, len(ids), CANCEL_BATCH)
+        ]
+        for batch in batches:
+            await self._cancel_batch(caller, batch, result)
+        self.metrics.add("jobs_cancel_requested", len(result.cancelled))
+        if len(ids) == 1 and not result.cancelled:
+            if not result.ended_already and not result.not_written:
+                return answer_problem(Problem("no such job", 404, ids[0]))
+        status = 503 if result.not_written else 200
+        return answer_json(status, result)
+
+    async def _cancel_batch(
+        self, caller: Caller, batch: list[str], result: CancelAnswer
+    ) -> None:
+        left = list(batch)
+        for _ in range(MAX_CONFLICTS):
+            try:
+                rows = await self.table.read_many(
+                    [job_key(job_id) for job_id in left]
+                )
+            except TableUnavailable:
+                break
+            live = []
+            for row in rows:
+                if row.value is None or not may_see(caller, row):
+                    continue
+                job = JobRow.from_value(row.value)
+                if job.status.is_terminal:
+                    result.ended_already.append(job.job_id)
+                else:
+                    live.append((row, job))
+            if not live:
+                return
+            answer = await self._commit_cancels(live)
+            left = [job.job_id for _, job in live]
+            if isinstance(answer, Committed):
+                result.cancelled.extend(left)
+                for _, job in live:
+                    self.notify(job.home, job.job_id)
+                return
+            if not isinstance(answer, Conflict | Unknown):
+                break
+            await asyncio.sleep(0.05)
+        result.not_written.extend(left)
+
+    async def _commit_cancels(self, live: list[tuple[Row, JobRow]]) -> Any:
+        checks = [Check(row.key, row.version) for row, _ in live]
+        writes = []
+        for _, job in live:
+            writes.append(job.change(cancel_requested=True).to_write())
+            writes.append(Write(inbox_key(job.home, job.job_id), {}))
+        transaction = Transaction(checks, writes, new_nonce())
+        return await commit_surely(self.table, transaction, COMMIT_PATIENCE_S)
+
+
+def may_see(caller: Caller, row: Row) -> bool:
+    """Tell whether a caller may see and cancel a job."""
+    if caller.role is Role.OPERATOR:
+        return True
+    return row.value["customer"] == caller.name
+
+
+def table_problem() -> Problem:
+    """Return the refusal while the table does not serve."""
+    return Problem(
+        "the table is not serving", 503, retry_after_s=TABLE_RETRY_S
+    )
+
+
+def forbid(detail: str) -> Response:
+    """Return the refusal for a caller of the wrong role."""
+    return answer_problem(Problem("not allowed", 403, detail))
+
+
+def answer_findings(findings: tuple[object, ...]) -> Response:
+    """Return all findings of a document together."""
+    return answer_problem(
+        Problem(
+            "the document has findings",
+            422,
+            findings=[str(item) for item in findings],
+        )
+    )
+
+
+async def read_json(request: Request) -> Any:
+    """Return a body as data; what cannot be parsed becomes ``None``."""
+    body = await request.read() or b"{}"
+    try:
+        return msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        pass
+    try:
+        return json5.loads(body.decode())
+    except (ValueError, RecursionError):
+        return None
--- /dev/null
+++ b/hickorywing/jobwriter.py
@@ -0,0 +1,225 @@
+"""Write job rows one after another, always under the controller's epoch."""
+
+import asyncio
+from collections.abc import Callable
+
+from hickorywing.jobs import home_key
+from hickorywing.jobs import inbox_key
+from hickorywing.jobs import job_key
+from hickorywing.jobs import JobRow
+from hickorywing.jobs import JobStatus
+from hickorywing.metrics import Metrics
+from hickorywing.table import Check
+from hickorywing.table import commit_surely
+from hickorywing.table import Committed
+from hickorywing.table import Conflict
+from hickorywing.table import new_nonce
+from hickorywing.table import Row
+from hickorywing.table import Table
+from hickorywing.table import TableUnavailable
+from hickorywing.table import Transaction
+from hickorywing.table import Write
+
+__all__ = ["JobWriter"]
+
+MAX_CONFLICTS = 8
+UNSERVED_PAUSE_S = 1.0
+
+Change = Callable[[JobRow], JobRow | None]
+
+
+class JobWriter:
+    """The job rows of one zone as last read or written.
+
+    Each change is a function from the present row to the wanted one, or to
+    ``None`` when the change no longer applies. After a conflict the row is
+    read again and the function is asked again, so that a cancellation by an
+    entry is never overwritten.
+    """
+
+    def __init__(
+        self, table: Table, epoch_check: Callable[[], Check], metrics: Metrics
+    ) -> None:
+        self.table = table
+        self.metrics = metrics
+        self._epoch_check = epoch_check
+        self._rows: dict[str, JobRow] = {}
+        self._versions: dict[str, int] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._unserved_until = 0.0
+
+    def serves(self) -> bool:
+        """Tell whether the table has answered of late."""
+        return asyncio.get_running_loop().time() >= self._unserved_until
+
+    def remember(self, row: JobRow, version: int) -> None:
+        """Keep a row as just read, unless a newer one is known."""
+        if version >= self._versions.get(row.job_id, 0):
+            self._rows[row.job_id] = row
+            self._versions[row.job_id] = version
+
+    def known(self, job_id: str) -> JobRow | None:
+        """Return the row as last read or written."""
+        return self._rows.get(job_id)
+
+    def version(self, job_id: str) -> int:
+        """Return the version of the known row."""
+        return self._versions.get(job_id, 0)
+
+    def is_settled(self, job_id: str) -> bool:
+        """Tell whether the known row is terminal, or there is none."""
+        row = self._rows.get(job_id)
+        return row is None or row.status.is_terminal
+
+    def forget(self, job_id: str) -> None:
+        """Drop an ended or moved job."""
+        self._rows.pop(job_id, None)
+        self._versions.pop(job_id, None)
+        self._locks.pop(job_id, None)
+
+    async def update(
+        self,
+        job_id: str,
+        change: Change,
+        checks: list[Check],
+        patience_s: float,
+        ends: bool = False,
+    ) -> JobRow | None:
+        """Apply a change; return the row written, or ``None``."""
+
+        def writes_of(row: JobRow) -> list[Write]:
+            return row.end_writes() if ends else [row.to_write()]
+
+        return await self._apply(job_id, change, checks, patience_s, writes_of)
+
+    async def move(
+        self,
+        job_id: str,
+        home: str,
+        kept_s: float,
+        failures: int,
+        patience_s: float,
+    ) -> JobRow | None:
+        """Hand a queued job to another zone, with what it has attained."""
+        known = self._rows.get(job_id)
+        old_home = known.home if known is not None else home
+
+        def move(row: JobRow) -> JobRow | None:
+            if row.home != old_home or row.cancel_requested:
+                return None
+            if row.status.is_terminal:
+                return None
+            return row.change(
+                home=home,
+                status=JobStatus.QUEUED,
+                kept_s=kept_s,
+                failures=failures,
+                placement=[],
+            )
+
+        def writes_of(row: JobRow) -> list[Write]:
+            return [
+                row.to_write(),
+                Write(home_key(old_home, job_id)),
+                Write(home_key(home, job_id), {}),
+                Write(inbox_key(home, job_id), {}),
+            ]
+
+        return await self._apply(job_id, move, [], patience_s, writes_of)
+
+    async def _apply(
+        self,
+        job_id: str,
+        change: Change,
+        checks: list[Check],
+        patience_s: float,
+        writes_of: Callable[[JobRow], list[Write]],
+    ) -> JobRow | None:
+        lock = self._locks.setdefault(job_id, asyncio.Lock())
+        async with lock:
+            for _ in range(MAX_CONFLICTS):
+                row = self._rows.get(job_id)
+                if row is None:
+                    return None
+                wanted = change(row)
+                if wanted is None:
+                    return None
+                answer = await self._commit(
+                    wanted, checks, patience_s, writes_of
+                )
+                if answer is not None:
+                    return wanted if answer else None
+            self.metrics.count("job_writes_given_up")
+            return None
+
+    async def _commit(
+        self,
+        wanted: JobRow,
+        checks: list[Check],
+        patience_s: float,
+        writes_of: Callable[[JobRow], list[Write]],
+    ) -> bool | None:
+        """Return whether the write took effect; ``None``: try again."""
+        job_id = wanted.job_id
+        own = Check(job_key(job_id), self._versions[job_id])
+        epoch = self._epoch_check()
+        transaction = Transaction(
+            [own, epoch, *checks], writes_of(wanted), new_nonce()
+        )
+        answer = await commit_surely(self.table, transaction, patience_s)
+        if isinstance(answer, Committed):
+            self._rows[job_id] = wanted
+            self._versions[job_id] = answer.version
+            self._unserved_until = 0.0
+            return True
+        if isinstance(answer, Conflict):
+            own_row = _find_row(answer.rows, own.key)
+            if own_row is None:
+                self.metrics.count("job_writes_fenced")
+                return False
+            self._take(job_id, own_row)
+            return None
+        self.metrics.count("job_writes_unserved")
+        now = asyncio.get_running_loop().time()
+        self._unserved_until = now + UNSERVED_PAUSE_S
+        return await self._read_back(job_id, transaction.nonce)
+
+    async def _read_back(self, job_id: str, nonce: str) -> bool | None:
+        """Find out whether a doubtful write took effect."""
+        try:
+            row = await self.table.read(job_key(job_id))
+        except TableUnavailable:
+            return False
+        self._take(job_id, row)
+        return row.nonce == nonce
+
+    def _take(self, job_id: str, row: Row) -> None:
+        if row.value is None:
+            self._rows.pop(job_id, None)
+            self._versions.pop(job_id, None)
+            return
+        self._rows[job_id] = JobRow.from_value(row.value)
+        self._versions[job_id] = row.version
+
+    async def clear_inbox(self, rows: list[Row]) -> None:
+        """Delete inbox rows, unless they changed again."""
+        if not rows:
+            return
+        transaction = Transaction(
+            [
+                self._epoch_check(),
+                *(Check(row.key, row.version) for row in rows),
+            ],
+            [Write(row.key) for row in rows],
+            new_nonce(),
+        )
+        answer = await self.table.commit(transaction)
+        if not isinstance(answer, Committed):
+            self.metrics.count("inbox_clears_repeated")
+
+
+def _find_row(rows: tuple[Row, ...], key: str) -> Row | None:
+    for row in rows:
+        if row.key == key:
+            return row
+    return None
--- /dev/null
+++ b/hickorywing/mailbox.py
@@ -0,0 +1,175 @@
+"""Send messages between the system's processes.
+
+A mailbox listens on one address and sends to any other. Sending is best
+effort: a message may be lost, late or, after a peer was replaced, reach its
+successor, but it is never sent twice by the transport. Every protocol above
+repeats and fences its own messages.
+"""
+
+from abc import ABC
+from abc import abstractmethod
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import pynng
+from returns.result import Failure
+
+from hickorywing.messages import AnyMessage
+from hickorywing.messages import decode_message
+from hickorywing.messages import encode_message
+from hickorywing.messages import Envelope
+from hickorywing.messages import MAX_FRAME_BYTES
+from hickorywing.metrics import Metrics
+from hickorywing.settings import TlsModel
+
+__all__ = ["Handler", "Mailbox", "PynngMailbox"]
+
+Handler = Callable[[Envelope], None]
+
+SEND_TIMEOUT_MS = 200
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1000
+OUTBOX_MESSAGES = 128
+IDLE_LINKS = 1024
+
+
+class Mailbox(ABC):
+    """One process's way to talk to the others."""
+
+    name: str
+    address: str
+
+    @abstractmethod
+    def send(self, address: str, body: AnyMessage) -> None:
+        """Send a message without waiting for anything."""
+
+    @abstractmethod
+    async def run(self, handler: Handler) -> None:
+        """Hand every received message to the handler until cancelled."""
+
+
+class PynngMailbox(Mailbox):
+    """Push and pull sockets: one inbox, one link for each peer.
+
+    A push socket hands each message to its pipe once and never repeats it,
+    unlike a request socket, which resends when its peer is replaced.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        listen: str,
+        metrics: Metrics,
+        tls: TlsModel | None = None,
+    ) -> None:
+        self.name = name
+        self.address = listen
+        self.metrics = metrics
+        self._tls = tls
+        self._links: dict[str, Link] = {}
+        self._inbox = pynng.Pull0(recv_max_size=MAX_FRAME_BYTES)
+        if tls is not None:
+            self._inbox.tls_config = make_tls(tls, server=True)
+        self._inbox.listen(self._url(listen))
+
+    def _url(self, address: str) -> str:
+        scheme = "tls+tcp" if self._tls is not None else "tcp"
+        return f"{scheme}://{address}"
+
+    def send(self, address: str, body: AnyMessage) -> None:
+        """Queue a message; the oldest is dropped when the link is full."""
+        link = self._links.get(address)
+        if link is None:
+            link = self._open_link(address)
+        frame = encode_message(Envelope(self.name, self.address, body))
+        self.metrics.count("messages_sent")
+        self.metrics.add("message_bytes_sent", len(frame))
+        link.put(frame)
+
+    def _open_link(self, address: str) -> "Link":
+        while len(self._links) >= IDLE_LINKS:
+            oldest = next(iter(self._links))
+            self._links.pop(oldest).close()
+        tls = None if self._tls is None else make_tls(self._tls, server=False)
+        link = Link(self._url(address), tls, self.metrics)
+        self._links[address] = link
+        return link
+
+    async def run(self, handler: Handler) -> None:
+        """Receive until cancelled; malformed frames are counted, dropped."""
+        while True:
+            frame = await self._inbox.arecv()
+            self.metrics.count("messages_received")
+            self.metrics.add("message_bytes_received", len(frame))
+            decoded = decode_message(frame)
+            if isinstance(decoded, Failure):
+                self.metrics.count("messages_malformed")
+                continue
+            handler(decoded.unwrap())
+
+    def close(self) -> None:
+        """Close the inbox and all links."""
+        self._inbox.close()
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+
+class Link:
+    """The sending side towards one peer."""
+
+    def __init__(
+        self, url: str, tls: pynng.TLSConfig | None, metrics: Metrics
+    ) -> None:
+        self._metrics = metrics
+        self._waiting: asyncio.Queue[bytes] = asyncio.Queue(OUTBOX_MESSAGES)
+        self._socket = pynng.Push0(
+            send_timeout=SEND_TIMEOUT_MS,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        if tls is not None:
+            self._socket.tls_config = tls
+        self._socket.dial(url, block=False)
+        self._task = asyncio.get_running_loop().create_task(self._pump())
+
+    def put(self, frame: bytes) -> None:
+        """Queue a frame, dropping the oldest when there is no room."""
+        if self._waiting.full():
+            self._waiting.get_nowait()
+            self._metrics.count("messages_dropped")
+        self._waiting.put_nowait(frame)
+
+    async def _pump(self) -> None:
+        while True:
+            frame = await self._waiting.get()
+            try:
+                await self._socket.asend(frame)
+            except pynng.exceptions.Timeout:
+                self._metrics.count("messages_dropped")
+            except pynng.exceptions.NNGException:
+                self._metrics.count("messages_dropped")
+                await asyncio.sleep(RECONNECT_MIN_MS / 1000)
+
+    def close(self) -> None:
+        """Close the link; what it has queued is lost."""
+        self._task.cancel()
+        self._socket.close()
+
+
+def make_tls(tls: TlsModel, server: bool) -> pynng.TLSConfig:
+    """Return the TLS configuration of one side of a link."""
+    mode = (
+        pynng.TLSConfig.MODE_SERVER
+        if server
+        else (pynng.TLSConfig.MODE_CLIENT)
+    )
+    return pynng.TLSConfig(
+        mode,
+        server_name=None if server else tls.server_name,
+        ca_string=Path(tls.ca_file).read_text(encoding="ascii"),
+        own_key_string=Path(tls.key_file).read_text(encoding="ascii"),
+        own_cert_string=Path(tls.cert_file).read_text(encoding="ascii"),
+        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+    )
--- /dev/null
+++ b/hickorywing/members.py
@@ -0,0 +1,341 @@
+"""Run gang members on the worker beside this agent."""
+
+import asyncio
+from collections.abc import Callable
+
+from hickorywing.mailbox import Mailbox
+from hickorywing.messages import Envelope
+from hickorywing.messages import HeartbeatAck
+from hickorywing.messages import MemberAnswer
+from hickorywing.messages import MemberCommand
+from hickorywing.messages import MemberEnded
+from hickorywing.messages import MemberReport
+from hickorywing.metrics import Metrics
+from hickorywing.policy.permit import MemberPermit
+from hickorywing.policy.permit import MemberState
+from hickorywing.policy.permit import PermitAnswer
+from hickorywing.policy.permit import Reservation
+from hickorywing.timeline import Timeline
+from hickorywing.workers import TaskLaunch
+from hickorywing.workers import TaskNames
+from hickorywing.workers import TaskState
+from hickorywing.workers import TaskStatus
+from hickorywing.workers import Worker
+
+__all__ = ["MemberRunner"]
+
+WATCH_EVERY_S = 0.25
+START_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 3.0
+
+
+class MemberRunner:
+    """Carries a controller's commands out, as far as the permit allows."""
+
+    def __init__(
+        self,
+        worker_id: str,
+        incarnation: int,
+        worker: Worker,
+        permit: MemberPermit,
+        mailbox: Mailbox,
+        timeline: Timeline,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self.worker_id = worker_id
+        self.incarnation = incarnation
+        self.worker = worker
+        self.permit = permit
+        self.mailbox = mailbox
+        self.timeline = timeline
+        self.metrics = metrics
+        self.clock = clock
+        self._orders: dict[str, MemberCommand] = {}
+        self._controller = ""
+        self._kept: dict[str, float] = {}
+        self._busy: set[asyncio.Task[None]] = set()
+
+    async def clear_worker(self) -> None:
+        """Stop what an earlier incarnation left running on the worker.
+
+        Returns once the worker says that nothing runs any more.
+        """
+        while True:
+            try:
+                known = await self.worker.renew(TaskNames([]))
+                ids = [task.task_id for task in known.tasks]
+                left = await self.worker.stop(TaskNames(ids))
+                await self.worker.forget(TaskNames(ids))
+            except Exception:
+                self.metrics.count("worker_calls_failed")
+                await asyncio.sleep(WATCH_EVERY_S)
+                continue
+            if not _running(left.tasks):
+                return
+
+    def handle(self, envelope: Envelope, command: MemberCommand) -> None:
+        """Take in a command."""
+        if command.incarnation != self.incarnation:
+            self.metrics.count("commands_for_another_incarnation")
+            return
+        self._controller = envelope.reply_to
+        if command.kind == "prepare":
+            self._answer(command, self._prepare(command))
+        elif command.kind == "start":
+            self._start(command)
+        elif command.kind == "stop":
+            self._stop(command)
+
+    def _prepare(self, command: MemberCommand) -> PermitAnswer:
+        slots = frozenset(
+            slot
+            for task in command.tasks
+            for slot in range(task.offset, task.offset + task.size)
+        )
+        answer = self.permit.prepare(
+            command.job_id,
+            command.attempt,
+            command.epoch,
+            slots,
+            self.clock(),
+        )
+        if answer is PermitAnswer.ACCEPTED:
+            self._orders[command.job_id] = command
+        return answer
+
+    def _start(self, command: MemberCommand) -> None:
+        before = self.permit.members.get(command.job_id)
+        was_prepared = (
+            before is not None and before.state is MemberState.PREPARED
+        )
+        answer = self.permit.start(
+            command.job_id, command.attempt, command.epoch, self.clock()
+        )
+        if answer is not PermitAnswer.ACCEPTED:
+            self.metrics.count("starts_refused")
+            self.timeline.record("start refused", command.job_id, answer)
+            self._answer(command, answer)
+        elif was_prepared:
+            self._spawn(self._launch(command))
+        else:
+            self._answer(command, answer)
+
+    async def _launch(self, command: MemberCommand) -> None:
+        order = self._orders[command.job_id]
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                for task in order.tasks:
+                    await self.worker.start(
+                        TaskLaunch(
+                            task_id(command, task.index),
+                            command.job_id,
+                            command.attempt,
+                            task.index,
+                            order.run_s,
+                            order.kept_s,
+                        )
+                    )
+        except Exception as error:
+            self.metrics.count("worker_calls_failed")
+            self.timeline.record(
+                "launch failed", command.job_id, type(error).__name__
+            )
+            await self._stop_tasks(order, False)
+            self._end(order, MemberState.FAILED, None)
+            return
+        self._answer(command, PermitAnswer.ACCEPTED)
+
+    def _stop(self, command: MemberCommand) -> None:
+        answer = self.permit.stop(
+            command.job_id, command.attempt, command.epoch
+        )
+        if answer is not PermitAnswer.ACCEPTED:
+            self._answer(command, answer)
+            return
+        member = self.permit.members.get(command.job_id)
+        if member is None or member.attempt != command.attempt:
+            report = MemberReport(
+                command.job_id, command.attempt, MemberState.STOPPED
+            )
+            self._tell(report)
+            return
+        if member.state in (MemberState.PREPARED, MemberState.RUNNING):
+            order = self._orders[command.job_id]
+            self._spawn(self._stop_member(order, command.checkpoint))
+        else:
+            self._tell(self._report_of(member))
+
+    async def _stop_member(
+        self, order: MemberCommand, checkpoint: bool
+    ) -> None:
+        stopped, kept_s = await self._stop_tasks(order, checkpoint)
+        if stopped:
+            self._end(order, MemberState.STOPPED, kept_s)
+
+    async def _stop_tasks(
+        self, order: MemberCommand, checkpoint: bool
+    ) -> tuple[bool, float | None]:
+        """Stop a member's tasks; return whether all stopped, and the kept.
+
+        A worker that does not answer is not renewed any more, so its own
+        lease stops the tasks.
+        """
+        ids = [task_id(order, task.index) for task in order.tasks]
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                statuses = await self.worker.stop(
+                    TaskNames(ids, checkpoint=checkpoint)
+                )
+        except Exception:
+            self.metrics.count("worker_calls_failed")
+            return False, None
+        mine = [task for task in statuses.tasks if task.task_id in ids]
+        if _running(mine):
+            return False, None
+        kept = [task.kept_s for task in mine] if checkpoint else []
+        return True, min(kept, default=None)
+
+    def _end(
+        self, order: MemberCommand, state: MemberState, kept_s: float | None
+    ) -> None:
+        if not self.permit.end(order.job_id, order.attempt, state):
+            return
+        if kept_s is not None:
+            self._kept[order.job_id] = kept_s
+        self.timeline.record(
+            f"member {state}", order.job_id, f"attempt {order.attempt}"
+        )
+        member = self.permit.members[order.job_id]
+        self._tell(self._report_of(member))
+
+    def _report_of(self, member: Reservation) -> MemberReport:
+        return MemberReport(
+            member.job_id,
+            member.attempt,
+            member.state,
+            self._kept.get(member.job_id),
+        )
+
+    def _tell(self, report: MemberReport) -> None:
+        if self._controller:
+            self.mailbox.send(
+                self._controller, MemberEnded(self.worker_id, report)
+            )
+
+    def _answer(self, command: MemberCommand, answer: PermitAnswer) -> None:
+        accepted = answer is PermitAnswer.ACCEPTED
+        self.mailbox.send(
+            self._controller,
+            MemberAnswer(
+                command.kind,
+                command.job_id,
+                command.attempt,
+                self.worker_id,
+                accepted,
+                "" if accepted else answer,
+            ),
+        )
+
+    def _spawn(self, work) -> None:  # noqa: ANN001
+        task = asyncio.get_running_loop().create_task(work)
+        self._busy.add(task)
+        task.add_done_callback(self._busy.discard)
+
+    def reports(self) -> list[MemberReport]:
+        """Return all members for the next heartbeat."""
+        return [
+            self._report_of(member) for member in self.permit.members.values()
+        ]
+
+    def take_ack(self, ack: HeartbeatAck) -> None:
+        """Renew leases and forget what the controller has noted."""
+        for report in ack.renewed:
+            self.permit.renew(
+                report.job_id, report.attempt, ack.epoch, ack.sent_at
+            )
+        for report in ack.noted:
+            member = self.permit.members.get(report.job_id)
+            if member is None or member.attempt != report.attempt:
+                continue
+            order = self._orders.get(report.job_id)
+            self.permit.forget(report.job_id, report.attempt)
+            if report.job_id not in self.permit.members:
+                self._orders.pop(report.job_id, None)
+                self._kept.pop(report.job_id, None)
+                if order is not None:
+                    self._spawn(self._forget_tasks(order))
+
+    async def _forget_tasks(self, order: MemberCommand) -> None:
+        ids = [task_id(order, task.index) for task in order.tasks]
+        try:
+            await self.worker.forget(TaskNames(ids))
+        except Exception:
+            self.metrics.count("worker_calls_failed")
+
+    async def watch(self) -> None:
+        """Renew the worker's leases and follow its tasks until cancelled."""
+        while True:
+            await asyncio.sleep(WATCH_EVERY_S)
+            for member in self.permit.lapsed(self.clock()):
+                self.metrics.count("member_leases_lapsed")
+                order = self._orders[member.job_id]
+                if member.state is MemberState.PREPARED:
+                    self._end(order, MemberState.STOPPED, None)
+                else:
+                    await self._stop_member(order, True)
+            await self._follow_worker()
+
+    async def _follow_worker(self) -> None:
+        running = [
+            member
+            for member in self.permit.members.values()
+            if member.state is MemberState.RUNNING
+        ]
+        ids: dict[str, Reservation] = {}
+        for member in running:
+            if member.lease_until <= self.clock():
+                continue
+            order = self._orders[member.job_id]
+            for task in order.tasks:
+                ids[task_id(order, task.index)] = member
+        if not ids:
+            return
+        try:
+            statuses = await self.worker.renew(TaskNames(list(ids)))
+        except Exception:
+            self.metrics.count("worker_calls_failed")
+            return
+        by_id = {task.task_id: task for task in statuses.tasks}
+        for member in running:
+            await self._judge(member, by_id)
+
+    async def _judge(
+        self, member: Reservation, by_id: dict[str, TaskStatus]
+    ) -> None:
+        """End a member whose tasks have ended."""
+        order = self._orders.get(member.job_id)
+        if order is None or member.state is not MemberState.RUNNING:
+            return
+        states = []
+        for task in order.tasks:
+            status = by_id.get(task_id(order, task.index))
+            if status is None:
+                return
+            states.append(status.state)
+        if all(state is TaskState.DONE for state in states):
+            self._end(order, MemberState.DONE, None)
+        elif TaskState.FAILED in states:
+            await self._stop_tasks(order, False)
+            self._end(order, MemberState.FAILED, None)
+        elif TaskState.STOPPED in states:
+            await self._stop_member(order, True)
+
+
+def task_id(order: MemberCommand, index: int) -> str:
+    """Return the name of one task of an attempt."""
+    return f"{order.job_id}/{order.attempt}/{index}"
+
+
+def _running(tasks: list[TaskStatus]) -> bool:
+    return any(task.state is TaskState.RUNNING for task in tasks)
--- /dev/null
+++ b/hickorywing/policy/guarantees.py
@@ -0,0 +1,142 @@
+"""Keep every customer's guarantee reclaimable at any moment.
+
+Each guaranteed cell is virtual until its customer uses it: then it is bound to
+a cell of the zone that no other guarantee is bound to. The invariant checked
+after each decision is that the cells still unbound fit into the unclaimed
+cells, whoever borrows those at the moment. Binding lazily, and to any cell of
+the right size, follows HiveD (OSDI 2020).
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from hickorywing.errors import InvariantViolation
+from hickorywing.policy.cells import Cell
+from hickorywing.policy.cells import CellIndex
+from hickorywing.policy.cells import fits
+from hickorywing.policy.cells import size_index
+from hickorywing.policy.cells import SIZES
+from hickorywing.policy.model import Guarantee
+
+__all__ = ["GuaranteedCell", "GuaranteeLedger", "Risk"]
+
+
+@dataclass(eq=False, slots=True)
+class GuaranteedCell:
+    """One cell that a customer may claim; ``bound`` while in use."""
+
+    customer: str
+    size: int
+    bound: Cell | None = None
+    users: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Risk:
+    """A guarantee that the present capacity cannot serve."""
+
+    customer: str
+    accelerators: int
+    count: int
+
+
+class GuaranteeLedger:
+    """All guaranteed cells of one availability zone."""
+
+    def __init__(self, index: CellIndex) -> None:
+        self.index = index
+        self.cells: dict[str, list[GuaranteedCell]] = {}
+        self.unbound = [0] * len(SIZES)
+
+    def set_guarantees(self, guarantees: list[Guarantee]) -> set[str]:
+        """Replace the guarantees; cells in use stay bound when still due.
+
+        Returns the jobs that held a cell which is no longer guaranteed.
+        """
+        dropped: set[str] = set()
+        due: dict[tuple[str, int], int] = {}
+        for guarantee in guarantees:
+            key = (guarantee.customer, guarantee.accelerators)
+            due[key] = due.get(key, 0) + guarantee.count
+        kept: dict[str, list[GuaranteedCell]] = {}
+        for cell in self._cells_in_use_first():
+            key = (cell.customer, cell.size)
+            if due.get(key, 0) > 0:
+                due[key] -= 1
+                kept.setdefault(cell.customer, []).append(cell)
+            elif cell.bound is not None:
+                self.index.set_claim(cell.bound, None)
+                dropped.update(cell.users)
+        for (customer, size), count in due.items():
+            fresh = [GuaranteedCell(customer, size) for _ in range(count)]
+            kept.setdefault(customer, []).extend(fresh)
+        self.cells = kept
+        self.unbound = [0] * len(SIZES)
+        for cells in kept.values():
+            for cell in cells:
+                if cell.bound is None:
+                    self.unbound[size_index(cell.size)] += 1
+        return dropped
+
+    def _cells_in_use_first(self) -> list[GuaranteedCell]:
+        every = [cell for cells in self.cells.values() for cell in cells]
+        return sorted(every, key=lambda cell: cell.bound is None)
+
+    def shortfall(self) -> int:
+        """Return the unbound accelerators that do not fit at present."""
+        return fits(self.index.counts.maximal, self.unbound)
+
+    def risks(self) -> list[Risk]:
+        """Name the guarantees that lost capacity leaves without cells."""
+        short = self.shortfall()
+        found: list[Risk] = []
+        unbound: dict[tuple[str, int], int] = {}
+        for customer, cells in sorted(self.cells.items()):
+            for cell in cells:
+                if cell.bound is None:
+                    key = (customer, cell.size)
+                    unbound[key] = unbound.get(key, 0) + 1
+        for (customer, size), count in sorted(
+            unbound.items(), key=lambda item: -item[0][1]
+        ):
+            if short <= 0:
+                break
+            lost = min(count, -(-short // size))
+            found.append(Risk(customer, size, lost))
+            short -= lost * size
+        return found
+
+    def bind(self, guaranteed: GuaranteedCell, cell: Cell) -> None:
+        """Bind an unbound guaranteed cell to a cell of the zone."""
+        if guaranteed.bound is not None or guaranteed.size != cell.size:
+            raise InvariantViolation(f"{guaranteed} cannot bind to {cell}")
+        self.index.set_claim(cell, guaranteed)
+        guaranteed.bound = cell
+        self.unbound[size_index(cell.size)] -= 1
+
+    def unbind(self, guaranteed: GuaranteedCell) -> None:
+        """Return a bound cell to the unclaimed ones."""
+        if guaranteed.bound is None:
+            return
+        self.index.set_claim(guaranteed.bound, None)
+        guaranteed.bound = None
+        guaranteed.users.clear()
+        self.unbound[size_index(guaranteed.size)] += 1
+
+    def use(self, guaranteed: GuaranteedCell, job_id: str) -> None:
+        """Count one task of a job into a bound cell."""
+        guaranteed.users[job_id] = guaranteed.users.get(job_id, 0) + 1
+
+    def release_job(self, customer: str, job_id: str) -> None:
+        """Take a job out of its customer's cells; unbind the empty ones."""
+        for cell in self.cells.get(customer, ()):
+            if cell.users.pop(job_id, None) and not cell.users:
+                self.unbind(cell)
+
+    def lose_worker(self, worker_id: str) -> None:
+        """Unbind every guarantee bound to a lost worker's cells."""
+        for cells in self.cells.values():
+            for cell in cells:
+                bound = cell.bound
+                if bound is not None and bound.worker_id == worker_id:
+                    self.unbind(cell)
--- /dev/null
+++ b/hickorywing/policy/placement.py
@@ -0,0 +1,430 @@
+"""Choose cells for a gang: idle ones, evictable ones or guaranteed ones."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+
+from hickorywing.policy.cells import Cell
+from hickorywing.policy.cells import CellIndex
+from hickorywing.policy.cells import Counts
+from hickorywing.policy.cells import fits
+from hickorywing.policy.cells import size_index
+from hickorywing.policy.cells import WorkerCells
+from hickorywing.policy.guarantees import GuaranteedCell
+from hickorywing.policy.guarantees import GuaranteeLedger
+from hickorywing.policy.model import Adjacency
+from hickorywing.policy.model import JobSpec
+
+__all__ = [
+    "ClaimPlan",
+    "EvictionPlan",
+    "EvictionCost",
+    "find_claim",
+    "find_evictable",
+    "find_idle",
+    "find_idle_first_fit",
+]
+
+EvictionCost = Callable[[str], float | None]
+
+
+@dataclass(slots=True)
+class EvictionPlan:
+    """Cells for a gang and the jobs that must leave them first."""
+
+    cells: list[Cell] = field(default_factory=list)
+    victims: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class ClaimPlan(EvictionPlan):
+    """Guaranteed cells for a gang, with the bindings they need."""
+
+    owners: list[GuaranteedCell] = field(default_factory=list)
+    bindings: list[tuple[GuaranteedCell, Cell]] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Scope:
+    """A part of the zone that one gang has to fit into."""
+
+    workers: list[WorkerCells]
+    counts: Counts
+
+
+def find_scopes(index: CellIndex, adjacency: Adjacency) -> Iterator[Scope]:
+    """Yield the parts of the zone that satisfy the adjacency."""
+    if adjacency is Adjacency.ZONE:
+        yield Scope(list(index.workers.values()), index.counts)
+    elif adjacency is Adjacency.RACK:
+        for rack in index.racks.values():
+            yield Scope(list(rack.workers.values()), rack.counts)
+    else:
+        for worker in index.workers.values():
+            yield Scope([worker], worker.counts)
+
+
+def find_idle(index: CellIndex, spec: JobSpec, size: int) -> list[Cell] | None:
+    """Choose idle cells, the tightest fit first, or return ``None``."""
+    position = size_index(size)
+    if index.counts.idle[position] < spec.tasks:
+        return None
+    if spec.adjacency is Adjacency.ZONE:
+        return _take_idle(index.workers_with_idle(size), spec.tasks, size)
+    scopes = [
+        scope
+        for scope in find_scopes(index, spec.adjacency)
+        if scope.counts.idle[position] >= spec.tasks
+    ]
+    if not scopes:
+        return None
+    tightest = min(scopes, key=lambda scope: scope.counts.idle[0])
+    ordered = sorted(tightest.workers, key=lambda worker: worker.idle_maximal)
+    return _take_idle(iter(ordered), spec.tasks, size)
+
+
+def find_idle_first_fit(
+    index: CellIndex, spec: JobSpec, size: int
+) -> list[Cell] | None:
+    """Choose the first idle cells in inventory order: a baseline."""
+    position = size_index(size)
+    for scope in find_scopes(index, spec.adjacency):
+        if scope.counts.idle[position] >= spec.tasks:
+            return _take_idle(iter(scope.workers), spec.tasks, size, False)
+    return None
+
+
+def _take_idle(
+    workers: Iterator[WorkerCells], tasks: int, size: int, tight: bool = True
+) -> list[Cell] | None:
+    position = size_index(size)
+    taken: list[Cell] = []
+    for worker in workers:
+        if worker.counts.idle[position] == 0:
+            continue
+        idle = [cell for cell in worker.cells(size) if worker.is_idle(cell)]
+        if tight and len(idle) > 1:
+            idle.sort(key=lambda cell: _enclosing_idle(worker, cell))
+        taken.extend(idle[: tasks - len(taken)])
+        if len(taken) == tasks:
+            return taken
+    return None
+
+
+def _enclosing_idle(worker: WorkerCells, cell: Cell) -> int:
+    """Return the size of the largest idle cell around an idle cell."""
+    best = cell.size
+    for offset, root in worker.roots:
+        if not offset <= cell.offset < offset + root:
+            continue
+        size = cell.size * 2
+        while size <= root:
+            start = offset + (cell.offset - offset) // size * size
+            if not worker.is_idle(Cell(cell.worker_id, start, size)):
+                break
+            best = size
+            size *= 2
+    return best
+
+
+def find_evictable(
+    index: CellIndex, spec: JobSpec, size: int, cost_of: EvictionCost
+) -> EvictionPlan | None:
+    """Choose the cells whose holders cost least to displace.
+
+    ``cost_of`` gives the cost of stopping a whole job, or ``None`` when that
+    job must not be stopped. Cells of guaranteed tasks are never chosen.
+    """
+    position = size_index(size)
+    if index.counts.soft[position] < spec.tasks:
+        return None
+    best: EvictionPlan | None = None
+    best_cost = float("inf")
+    for scope in find_scopes(index, spec.adjacency):
+        if scope.counts.soft[position] < spec.tasks:
+            continue
+        priced = _price_cells(scope.workers, size, cost_of)
+        if len(priced) < spec.tasks:
+            continue
+        plan, cost = _pick_cheapest(priced, spec.tasks, cost_of)
+        if cost < best_cost:
+            best, best_cost = plan, cost
+    return best
+
+
+@dataclass(slots=True)
+class PricedCell:
+    """A cell with the jobs that hold it and the cost of stopping them."""
+
+    cost: float
+    cell: Cell
+    holders: set[str]
+    owner: GuaranteedCell | None = None
+    binding: Cell | None = None
+
+
+def _price_cells(
+    workers: list[WorkerCells], size: int, cost_of: EvictionCost
+) -> list[PricedCell]:
+    position = size_index(size)
+    priced: list[PricedCell] = []
+    for worker in workers:
+        if worker.counts.soft[position] == 0:
+            continue
+        for cell in worker.cells(size):
+            found = _price_cell(worker, cell, cost_of)
+            if found is not None:
+                priced.append(found)
+    return priced
+
+
+def _price_cell(
+    worker: WorkerCells, cell: Cell, cost_of: EvictionCost
+) -> PricedCell | None:
+    if not worker.is_soft(cell):
+        return None
+    holders = worker.holders(cell)
+    total = 0.0
+    for job in holders:
+        cost = cost_of(job)
+        if cost is None:
+            return None
+        total += cost
+    return PricedCell(total, cell, holders)
+
+
+def _pick_cheapest(
+    priced: list[PricedCell], tasks: int, cost_of: EvictionCost
+) -> tuple[EvictionPlan, float]:
+    priced.sort(key=lambda item: item.cost)
+    plan = EvictionPlan()
+    for item in priced[:tasks]:
+        plan.cells.append(item.cell)
+        plan.victims |= item.holders
+    cost = sum(cost_of(job) or 0.0 for job in plan.victims)
+    return plan, cost
+
+
+def find_claim(
+    index: CellIndex,
+    ledger: GuaranteeLedger,
+    spec: JobSpec,
+    size: int,
+    cost_of: EvictionCost,
+) -> ClaimPlan | None:
+    """Choose cells out of the customer's own guarantee, or ``None``.
+
+    Borrowers found there become victims; idle cells are preferred. Among the
+    scopes that serve the whole gang the one with the fewest victims wins.
+    """
+    owned = ledger.cells.get(spec.customer)
+    if not owned or not _may_claim(owned, spec, size):
+        return None
+    best: ClaimPlan | None = None
+    for scope in find_scopes(index, spec.adjacency):
+        if scope.counts.soft[size_index(size)] < spec.tasks:
+            continue
+        plan = _claim_in_scope(scope, ledger, spec, size, cost_of)
+        if plan is None:
+            continue
+        if best is None or len(plan.victims) < len(best.victims):
+            best = plan
+        if not best.victims:
+            break
+    return best
+
+
+def _may_claim(owned: list[GuaranteedCell], spec: JobSpec, size: int) -> bool:
+    room = 0
+    for cell in owned:
+        if cell.size >= size:
+            room += cell.size // size
+    return room >= spec.tasks
+
+
+def _claim_in_scope(
+    scope: Scope,
+    ledger: GuaranteeLedger,
+    spec: JobSpec,
+    size: int,
+    cost_of: EvictionCost,
+) -> ClaimPlan | None:
+    plan = ClaimPlan()
+    inside = {worker.spec.worker_id: worker for worker in scope.workers}
+    _use_bound_cells(plan, inside, ledger, spec, size, cost_of)
+    if len(plan.cells) < spec.tasks:
+        _bind_more_cells(plan, scope, ledger, spec, size, cost_of)
+    if len(plan.cells) < spec.tasks:
+        return None
+    return plan
+
+
+def _use_bound_cells(
+    plan: ClaimPlan,
+    inside: dict[str, WorkerCells],
+    ledger: GuaranteeLedger,
+    spec: JobSpec,
+    size: int,
+    cost_of: EvictionCost,
+) -> None:
+    priced: list[PricedCell] = []
+    for owner in ledger.cells[spec.customer]:
+        bound = owner.bound
+        if bound is None or owner.size < size:
+            continue
+        worker = inside.get(bound.worker_id)
+        if worker is None or not worker.offered:
+            continue
+        for cell in bound.cut(size):
+            found = _price_cell(worker, cell, cost_of)
+            if found is not None:
+                found.owner = owner
+                priced.append(found)
+    priced.sort(key=lambda item: item.cost)
+    for item in priced[: spec.tasks]:
+        _add_to_plan(plan, item)
+
+
+def _add_to_plan(plan: ClaimPlan, item: PricedCell) -> None:
+    plan.cells.append(item.cell)
+    plan.victims |= item.holders
+    plan.owners.append(item.owner)
+
+
+def _bind_more_cells(
+    plan: ClaimPlan,
+    scope: Scope,
+    ledger: GuaranteeLedger,
+    spec: JobSpec,
+    size: int,
+    cost_of: EvictionCost,
+) -> None:
+    free = [cell for cell in ledger.cells[spec.customer] if not cell.bound]
+    free = [cell for cell in free if cell.size >= size]
+    free.sort(key=lambda cell: cell.size)
+    available = list(ledger.index.counts.maximal)
+    unbound = list(ledger.unbound)
+    taken: set[Cell] = set()
+    candidates: dict[int, list[PricedCell]] = {}
+    for owner in free:
+        if len(plan.cells) >= spec.tasks:
+            return
+        if owner.size not in candidates:
+            candidates[owner.size] = _unclaimed_cells(
+                scope, owner.size, cost_of
+            )
+        choice = _choose_binding(
+            candidates[owner.size], taken, ledger, available, unbound
+        )
+        if choice is None:
+            continue
+        taken.add(choice.cell)
+        plan.bindings.append((owner, choice.cell))
+        _fill_binding(plan, scope, owner, choice.cell, spec, size, cost_of)
+
+
+def _unclaimed_cells(
+    scope: Scope, size: int, cost_of: EvictionCost
+) -> list[PricedCell]:
+    position = size_index(size)
+    found: list[PricedCell] = []
+    for worker in scope.workers:
+        if worker.counts.unclaimed[position] == 0:
+            continue
+        for cell in worker.cells(size):
+            if not worker.is_unclaimed(cell):
+                continue
+            priced = _price_cell(worker, cell, cost_of)
+            if priced is not None:
+                priced.cost += _unclaimed_size(worker, cell) / 1000
+                found.append(priced)
+    found.sort(key=lambda item: item.cost)
+    return found
+
+
+def _unclaimed_size(worker: WorkerCells, cell: Cell) -> int:
+    """Return the size of the largest unclaimed cell around a cell."""
+    best = cell.size
+    for offset, root in worker.roots:
+        if not offset <= cell.offset < offset + root:
+            continue
+        size = cell.size * 2
+        while size <= root:
+            start = offset + (cell.offset - offset) // size * size
+            around = Cell(cell.worker_id, start, size)
+            if not worker.is_unclaimed(around):
+                break
+            best = size
+            size *= 2
+    return best
+
+
+def _overlaps(cell: Cell, other: Cell) -> bool:
+    return (
+        cell.worker_id == other.worker_id
+        and cell.offset < other.offset + other.size
+        and other.offset < cell.offset + cell.size
+    )
+
+
+def _choose_binding(
+    candidates: list[PricedCell],
+    taken: set[Cell],
+    ledger: GuaranteeLedger,
+    available: list[int],
+    unbound: list[int],
+) -> PricedCell | None:
+    """Choose the cheapest binding that leaves every other guarantee whole."""
+    short_before = fits(available, unbound)
+    for item in candidates:
+        cell = item.cell
+        if any(_overlaps(cell, other) for other in taken):
+            continue
+        worker = ledger.index.workers[cell.worker_id]
+        around = _unclaimed_size(worker, cell)
+        if any(other.worker_id == cell.worker_id for other in taken):
+            around = cell.size
+        left = list(available)
+        _split(left, around, cell.size)
+        still = list(unbound)
+        still[size_index(cell.size)] -= 1
+        if left[size_index(around)] < 0 or fits(left, still) > short_before:
+            continue
+        available[:] = left
+        unbound[:] = still
+        return item
+    return None
+
+
+def _split(available: list[int], around: int, size: int) -> None:
+    """Take one cell of ``size`` out of a maximal cell of ``around``."""
+    available[size_index(around)] -= 1
+    while around > size:
+        around //= 2
+        available[size_index(around)] += 1
+
+
+def _fill_binding(
+    plan: ClaimPlan,
+    scope: Scope,
+    owner: GuaranteedCell,
+    bound: Cell,
+    spec: JobSpec,
+    size: int,
+    cost_of: EvictionCost,
+) -> None:
+    worker = next(
+        worker
+        for worker in scope.workers
+        if worker.spec.worker_id == bound.worker_id
+    )
+    priced = []
+    for cell in bound.cut(size):
+        found = _price_cell(worker, cell, cost_of)
+        if found is not None:
+            found.owner = owner
+            priced.append(found)
+    priced.sort(key=lambda item: item.cost)
+    for item in priced[: spec.tasks - len(plan.cells)]:
+        _add_to_plan(plan, item)
--- /dev/null
+++ b/hickorywing/policy/scheduler.py
@@ -0,0 +1,815 @@
+"""Decide which jobs of one availability zone run where, and which leave.
+
+``ZoneScheduler`` is fed events (a job submitted, a task ended, a worker lost,
+rules changed) and asked to ``decide``; it answers with actions. It does no
+I/O and reads no clock. Its invariants are checked after every decision.
+
+Example::
+
+    scheduler = ZoneScheduler()
+    scheduler.add_worker(WorkerSpec("w1", "a", "r1", 8, 128, 256))
+    scheduler.submit(JobSpec("j1", "north", accelerators=4), now=0.0)
+    [start] = scheduler.decide(now=0.0)
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+import enum
+
+from hickorywing.errors import InvariantViolation
+from hickorywing.policy.actions import Action
+from hickorywing.policy.actions import EvictJob
+from hickorywing.policy.actions import EvictReason
+from hickorywing.policy.actions import FailJob
+from hickorywing.policy.actions import Outcome
+from hickorywing.policy.actions import Refusal
+from hickorywing.policy.actions import StartJob
+from hickorywing.policy.cells import Cell
+from hickorywing.policy.cells import CellIndex
+from hickorywing.policy.cells import SIZES
+from hickorywing.policy.cores import ACCELERATOR_SHARE
+from hickorywing.policy.cores import CorePool
+from hickorywing.policy.cores import CoreRequest
+from hickorywing.policy.estimates import RunTimeEstimates
+from hickorywing.policy.guarantees import GuaranteeLedger
+from hickorywing.policy.guarantees import Risk
+from hickorywing.policy.model import Adjacency
+from hickorywing.policy.model import Customer
+from hickorywing.policy.model import Guarantee
+from hickorywing.policy.model import JobSpec
+from hickorywing.policy.model import Placement
+from hickorywing.policy.model import round_up_cell
+from hickorywing.policy.model import TaskPlace
+from hickorywing.policy.model import WorkerSpec
+from hickorywing.policy.placement import ClaimPlan
+from hickorywing.policy.placement import EvictionPlan
+from hickorywing.policy.placement import find_claim
+from hickorywing.policy.placement import find_evictable
+from hickorywing.policy.placement import find_idle
+from hickorywing.policy.placement import find_idle_first_fit
+from hickorywing.policy.quarantine import Quarantine
+from hickorywing.policy.queue import JobQueue
+from hickorywing.policy.queue import Order
+from hickorywing.policy.queue import ShortWorkFirst
+
+__all__ = ["JobState", "JobView", "SchedulerOptions", "ZoneScheduler"]
+
+STARVING_AFTER_S = 4 * 3600.0
+MIGRATE_AFTER_S = 30.0
+MAX_ATTEMPT_FAILURES = 4
+SCAN_LIMIT = 256
+MAX_MIGRATED_SHARE = 0.5
+
+
+class JobState(enum.StrEnum):
+    """Where a job stands inside the scheduler."""
+
+    QUEUED = "queued"
+    CLEARING = "clearing"
+    PLACED = "placed"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True)
+class JobView:
+    """One job that the scheduler knows."""
+
+    spec: JobSpec
+    submitted: float
+    cell_size: int
+    state: JobState = JobState.QUEUED
+    attempt: int = 0
+    placement: Placement | None = None
+    cells: list[Cell] = field(default_factory=list)
+    blocked_on: set[str] = field(default_factory=set)
+    started_at: float | None = None
+    attained_s: float = 0.0
+    failures: int = 0
+    cancelled: bool = False
+    waiting_since: float = 0.0
+
+    @property
+    def guaranteed(self) -> bool:
+        """Tell whether the job runs inside its customer's guarantee."""
+        return self.placement is not None and self.placement.guaranteed
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerOptions:
+    """Which parts of the policy are in use; baselines switch some off."""
+
+    order: Order = field(default_factory=ShortWorkFirst)
+    first_fit: bool = False
+    backfill: bool = True
+    migrate: bool = True
+    checkpoint: bool = True
+
+
+class ZoneScheduler:
+    """The decisions of one availability zone."""
+
+    def __init__(self, options: SchedulerOptions | None = None) -> None:
+        self.options = options or SchedulerOptions()
+        self.cells = CellIndex()
+        self.cores = CorePool()
+        self.ledger = GuaranteeLedger(self.cells)
+        self.queue = JobQueue(self.options.order)
+        self.estimates = RunTimeEstimates()
+        self.quarantine = Quarantine()
+        self.jobs: dict[str, JobView] = {}
+        self.customers: dict[str, Customer] = {}
+        self.zone_in = True
+        self.allowed_shortfall = 0
+        self._used_accelerators: dict[str, int] = {}
+        self._used_cores: dict[str, float] = {}
+        self._share_cores = float("inf")
+        self._share_memory = float("inf")
+        self._jobs_on: dict[str, set[str]] = {}
+
+    # Inventory and rules
+
+    def add_worker(self, spec: WorkerSpec) -> None:
+        """Add a worker that takes tasks from now on."""
+        self.cells.add_worker(spec)
+        self.cores.add_worker(spec)
+        self._jobs_on.setdefault(spec.worker_id, set())
+        if spec.accelerators:
+            per = ACCELERATOR_SHARE / spec.accelerators
+            self._share_cores = min(self._share_cores, spec.cores * per)
+            self._share_memory = min(self._share_memory, spec.memory_gb * per)
+        self._capacity_changed()
+
+    def lose_worker(self, worker_id: str) -> list[str]:
+        """Withhold a lost worker; return the jobs that had a task there."""
+        self.cells.set_offered(worker_id, False)
+        self.cores.set_offered(worker_id, False)
+        self.ledger.lose_worker(worker_id)
+        self._capacity_changed()
+        return sorted(self._jobs_on[worker_id])
+
+    def withhold_worker(self, worker_id: str) -> None:
+        """Place nothing more on a worker whose tasks go on."""
+        self.cells.set_offered(worker_id, False)
+        self.cores.set_offered(worker_id, False)
+        self._capacity_changed()
+
+    def restore_worker(self, worker_id: str) -> None:
+        """Offer a worker again after it was lost or quarantined."""
+        offered = not self.quarantine.is_quarantined(worker_id)
+        self.cells.set_offered(worker_id, offered)
+        self.cores.set_offered(worker_id, offered)
+        self._capacity_changed()
+
+    def set_rules(
+        self, customers: Iterable[Customer], guarantees: list[Guarantee]
+    ) -> None:
+        """Put quotas and guarantees in force.
+
+        Jobs that ran inside a guarantee which is gone go on as borrowers.
+        """
+        self.customers = {customer.name: customer for customer in customers}
+        for job_id in self.ledger.set_guarantees(guarantees):
+            self._soften(self.jobs[job_id])
+        self._capacity_changed()
+
+    def _soften(self, job: JobView) -> None:
+        for cell in job.cells:
+            self.cells.soften(cell, job.spec.job_id)
+        self.ledger.release_job(job.spec.customer, job.spec.job_id)
+        if job.placement is not None:
+            job.placement = Placement(job.placement.tasks, guaranteed=False)
+
+    def _capacity_changed(self) -> None:
+        self.allowed_shortfall = self.ledger.shortfall()
+
+    def risks(self) -> list[Risk]:
+        """Name the guarantees that present capacity cannot serve."""
+        return self.ledger.risks()
+
+    # Jobs
+
+    def check(self, spec: JobSpec) -> Refusal | None:
+        """Return why the job can never run in this zone, or ``None``."""
+        customer = self.customers.get(spec.customer)
+        if customer is not None:
+            refusal = self._check_quota(spec, customer)
+            if refusal is not None:
+                return refusal
+        if spec.accelerators == 0:
+            return self._check_cores(spec)
+        return self._check_cells(spec, self._cell_size(spec))
+
+    def _check_quota(
+        self, spec: JobSpec, customer: Customer
+    ) -> Refusal | None:
+        quota = customer.quota_accelerators
+        needed = spec.tasks * self._cell_size(spec)
+        if quota is not None and needed > quota:
+            return Refusal(
+                f"needs {needed} accelerators, the quota of"
+                f" {spec.customer} is {quota}"
+            )
+        cores = customer.quota_cores
+        if cores is not None and spec.tasks * spec.cores > cores:
+            return Refusal(
+                f"needs {spec.tasks * spec.cores:g} cores, the quota of"
+                f" {spec.customer} is {cores:g}"
+            )
+        return None
+
+    def _check_cores(self, spec: JobSpec) -> Refusal | None:
+        if spec.cores > self.cores.max_cores:
+            return Refusal(
+                f"a task needs {spec.cores:g} cores, the most that a worker"
+                f" offers is {self.cores.max_cores:g}"
+            )
+        if spec.memory_gb > self.cores.max_memory_gb:
+            return Refusal(
+                f"a task needs {spec.memory_gb:g} GB, the most that a worker"
+                f" offers is {self.cores.max_memory_gb:g}"
+            )
+        return None
+
+    def _check_cells(self, spec: JobSpec, size: int) -> Refusal | None:
+        if size > SIZES[-1]:
+            return Refusal(f"a cell of {size} accelerators exists nowhere")
+        most = 0
+        groups: dict[object, int] = {}
+        for worker in self.cells.workers.values():
+            room = sum(root // size for _, root in worker.roots)
+            group: object = 0
+            if spec.adjacency is Adjacency.RACK:
+                group = worker.spec.rack
+            elif spec.adjacency is Adjacency.WORKER:
+                group = worker.spec.worker_id
+            groups[group] = groups.get(group, 0) + room
+            most = max(most, groups[group])
+        if most < spec.tasks:
+            return Refusal(
+                f"needs {spec.tasks} cells of {size} accelerators within one"
+                f" {spec.adjacency.value}, the most anywhere is {most}"
+            )
+        return None
+
+    def _cell_size(self, spec: JobSpec) -> int:
+        """Return the cell one task needs for accelerators, cores, memory."""
+        if spec.accelerators == 0:
+            return 0
+        by_cores = spec.cores / self._share_cores
+        by_memory = spec.memory_gb / self._share_memory
+        needed = max(float(spec.accelerators), by_cores, by_memory)
+        return round_up_cell(int(-(-needed // 1)))
+
+    def submit(
+        self, spec: JobSpec, now: float, attained_s: float = 0.0
+    ) -> None:
+        """Add a job that ``check`` accepts to the queue."""
+        if spec.job_id in self.jobs:
+            return
+        job = JobView(spec, now, self._cell_size(spec), attained_s=attained_s)
+        self.jobs[spec.job_id] = job
+        self._enqueue(job, now)
+
+    def _enqueue(self, job: JobView, now: float) -> None:
+        job.state = JobState.QUEUED
+        job.waiting_since = now
+        spec = job.spec
+        expected = self.estimates.correct(spec.customer, spec.declared_run_s)
+        left = max(expected - job.attained_s, expected * 0.1)
+        self.queue.add(spec, job.submitted, left)
+
+    def adopt(
+        self,
+        spec: JobSpec,
+        placement: Placement,
+        attempt: int,
+        submitted: float,
+        started_at: float | None,
+    ) -> None:
+        """Take over a job that a former controller placed.
+
+        Used while state is rebuilt from the table's rows. The cells are held
+        as borrowed unless the customer's guarantee can still take them.
+        """
+        job = JobView(spec, submitted, self._cell_size(spec))
+        job.attempt = attempt
+        job.started_at = started_at
+        running = started_at is not None
+        job.state = JobState.RUNNING if running else JobState.PLACED
+        self.jobs[spec.job_id] = job
+        cells = [
+            Cell(task.worker_id, task.offset, task.size)
+            for task in placement.tasks
+            if task.size and task.worker_id in self.cells.workers
+        ]
+        hard = placement.guaranteed and self._rebind(spec, cells)
+        placement = Placement(placement.tasks, guaranteed=hard)
+        self._hold(job, cells, placement)
+
+    def _rebind(self, spec: JobSpec, cells: list[Cell]) -> bool:
+        """Bind a customer's guarantee around cells that already run."""
+        owned = self.ledger.cells.get(spec.customer, [])
+        plan: list[tuple[object, Cell]] = []
+        for cell in cells:
+            owner = next(
+                (
+                    item
+                    for item in owned
+                    if item.bound
+                    and item.bound.worker_id == cell.worker_id
+                    and item.bound.offset <= cell.offset
+                    and cell.offset + cell.size
+                    <= item.bound.offset + item.bound.size
+                ),
+                None,
+            )
+            if owner is None:
+                owner = self._bind_around(owned, cell)
+            if owner is None:
+                self.ledger.release_job(spec.customer, spec.job_id)
+                return False
+            self.ledger.use(owner, spec.job_id)
+            plan.append((owner, cell))
+        return True
+
+    def _bind_around(self, owned: list, cell: Cell):  # noqa: ANN202
+        worker = self.cells.workers[cell.worker_id]
+        for item in owned:
+            if item.bound is not None or item.size < cell.size:
+                continue
+            for around in worker.cells(item.size):
+                inside = (
+                    around.offset <= cell.offset
+                    and cell.offset + cell.size <= around.offset + around.size
+                )
+                if inside and worker.is_unclaimed(around):
+                    self.ledger.bind(item, around)
+                    return item
+        return None
+
+    def cancel(self, job_id: str, now: float) -> list[Action]:
+        """Cancel a job in time independent of the number of jobs."""
+        job = self.jobs.get(job_id)
+        if job is None or job.cancelled:
+            return []
+        job.cancelled = True
+        if job.state is JobState.QUEUED:
+            self._forget(job)
+            return []
+        if job.state is JobState.CLEARING:
+            self._release(job)
+            self._forget(job)
+            return []
+        if job.state is JobState.STOPPING:
+            return []
+        job.state = JobState.STOPPING
+        return [EvictJob(job_id, job.attempt, EvictReason.CANCELLED, False)]
+
+    def _forget(self, job: JobView) -> None:
+        job_id = job.spec.job_id
+        self.queue.remove(job_id)
+        self.quarantine.forget_job(job_id)
+        self.jobs.pop(job_id, None)
+
+    def job_running(self, job_id: str, attempt: int, now: float) -> None:
+        """Note that every member of the attempt has started."""
+        job = self.jobs.get(job_id)
+        if job is None or job.attempt != attempt:
+            return
+        job.started_at = now
+        if job.state is JobState.PLACED:
+            job.state = JobState.RUNNING
+
+    def job_ended(
+        self,
+        job_id: str,
+        attempt: int,
+        outcome: Outcome,
+        now: float,
+        kept_s: float | None = None,
+        failed_worker: str | None = None,
+    ) -> list[Action]:
+        """Take the end of an attempt into account.
+
+        ``kept_s`` is the run time in seconds that a checkpoint preserved.
+        A job that is not finished goes back into the queue, until it has
+        failed too often.
+        """
+        job = self.jobs.get(job_id)
+        if job is None or job.attempt != attempt or not job.placement:
+            return []
+        ran_s = 0.0 if job.started_at is None else now - job.started_at
+        workers = job.placement.workers
+        self._release(job)
+        actions = self._unblock(job_id, now)
+        if outcome is Outcome.DONE:
+            self._finish(job, ran_s, workers)
+            return actions
+        if job.cancelled:
+            self._forget(job)
+            return actions
+        if kept_s is not None:
+            job.attained_s = kept_s
+        if outcome is Outcome.FAILED:
+            failed = self._count_failure(job, failed_worker, now)
+            if failed is not None:
+                self._forget(job)
+                return [*actions, failed]
+        self._enqueue(job, now)
+        return actions
+
+    def _finish(
+        self, job: JobView, ran_s: float, workers: tuple[str, ...]
+    ) -> None:
+        spec = job.spec
+        ran_s += job.attained_s
+        self.estimates.observe(spec.customer, spec.declared_run_s, ran_s)
+        for worker_id in workers:
+            self.quarantine.record_success(worker_id, spec.job_id)
+        self._forget(job)
+
+    def _count_failure(
+        self, job: JobView, worker_id: str | None, now: float
+    ) -> FailJob | None:
+        job.failures += 1
+        job_id = job.spec.job_id
+        if worker_id is not None:
+            if self.quarantine.record_failure(worker_id, job_id, now):
+                self.withhold_worker(worker_id)
+        if job.failures < MAX_ATTEMPT_FAILURES:
+            return None
+        return FailJob(job_id, f"failed {job.failures} times")
+
+    # Decisions
+
+    def decide(self, now: float) -> list[Action]:
+        """Return the starts and evictions that are due at ``now`` seconds."""
+        for worker_id in self.quarantine.release_due(now):
+            if worker_id in self.cells.workers:
+                self.restore_worker(worker_id)
+        if not self.zone_in:
+            return []
+        actions: list[Action] = []
+        failed: dict[tuple[str, int, Adjacency, bool], int] = {}
+        scanned = 0
+        for job_id in list(self._candidates()):
+            job = self.jobs[job_id]
+            signature = self._signature(job)
+            blocked = failed.get(signature)
+            if blocked is not None and job.spec.tasks >= blocked:
+                continue
+            scanned += 1
+            placed = self._try_job(job, now, actions)
+            if not placed:
+                failed[signature] = job.spec.tasks
+                if not self.options.backfill:
+                    break
+                if self._is_starving(job, now) or scanned >= SCAN_LIMIT:
+                    break
+        self.assert_invariants()
+        return actions
+
+    def _candidates(self) -> Iterable[str]:
+        return self.queue.in_order()
+
+    def _signature(self, job: JobView) -> tuple[str, int, Adjacency, bool]:
+        """Group jobs that fail for the same reason within one decision."""
+        spec = job.spec
+        size = job.cell_size or -int(spec.cores * 16 + spec.memory_gb)
+        return (spec.customer, size, spec.adjacency, spec.urgent)
+
+    def _is_starving(self, job: JobView, now: float) -> bool:
+        return now - job.waiting_since >= STARVING_AFTER_S
+
+    def _try_job(
+        self, job: JobView, now: float, actions: list[Action]
+    ) -> bool:
+        if not self._within_quota(job):
+            return False
+        if job.cell_size == 0:
+            return self._try_cores(job, now, actions)
+        idle = self._find_idle(job)
+        if idle is not None and not self._prefers_claim(job):
+            self._place(job, EvictionPlan(idle), None, now, actions)
+            return True
+        claim = find_claim(
+            self.cells,
+            self.ledger,
+            job.spec,
+            job.cell_size,
+            self._cost_for_claim,
+        )
+        if claim is not None:
+            self._apply_claim(job, claim)
+            self._place(job, claim, EvictReason.RECLAIM, now, actions)
+            return True
+        if idle is not None:
+            self._place(job, EvictionPlan(idle), None, now, actions)
+            return True
+        return self._try_eviction(job, now, actions)
+
+    def _prefers_claim(self, job: JobView) -> bool:
+        """Prefer the guarantee: work inside it is never displaced."""
+        return job.spec.customer in self.ledger.cells
+
+    def _find_idle(self, job: JobView) -> list[Cell] | None:
+        if self.options.first_fit:
+            return find_idle_first_fit(self.cells, job.spec, job.cell_size)
+        return find_idle(self.cells, job.spec, job.cell_size)
+
+    def _within_quota(self, job: JobView) -> bool:
+        customer = self.customers.get(job.spec.customer)
+        if customer is None:
+            return True
+        quota = customer.quota_accelerators
+        name = customer.name
+        if quota is not None and job.cell_size:
+            used = self._used_accelerators.get(name, 0)
+            if used + job.cell_size * job.spec.tasks > quota:
+                return False
+        cores = customer.quota_cores
+        if cores is not None and not job.cell_size:
+            used_cores = self._used_cores.get(name, 0.0)
+            if used_cores + job.spec.cores * job.spec.tasks > cores:
+                return False
+        return True
+
+    def _try_cores(
+        self, job: JobView, now: float, actions: list[Action]
+    ) -> bool:
+        spec = job.spec
+        request = CoreRequest(spec.cores, spec.memory_gb)
+        workers = self.cores.find(request, spec.tasks)
+        if workers is None:
+            return False
+        places = tuple(TaskPlace(worker_id, 0, 0) for worker_id in workers)
+        self._hold(job, [], Placement(places))
+        self._start(job, now, actions)
+        return True
+
+    def _try_eviction(
+        self, job: JobView, now: float, actions: list[Action]
+    ) -> bool:
+        if job.spec.urgent:
+            reason = EvictReason.URGENT
+            cost_of = self._cost_for_urgent
+        elif self._is_starving(job, now):
+            reason = EvictReason.STARVING
+            cost_of = self._cost_for_urgent
+        elif self._may_migrate(job, now):
+            return self._try_migration(job, now, actions)
+        else:
+            return False
+        plan = find_evictable(self.cells, job.spec, job.cell_size, cost_of)
+        if plan is None:
+            return False
+        self._place(job, plan, reason, now, actions)
+        return True
+
+    def _may_migrate(self, job: JobView, now: float) -> bool:
+        if not self.options.migrate or not self.options.checkpoint:
+            return False
+        if now - job.waiting_since < MIGRATE_AFTER_S:
+            return False
+        return self.cells.counts.idle[0] >= job.cell_size * job.spec.tasks
+
+    def _try_migration(
+        self, job: JobView, now: float, actions: list[Action]
+    ) -> bool:
+        """Move small borrowers away when that alone opens the cells."""
+        plan = find_evictable(
+            self.cells, job.spec, job.cell_size, self._cost_for_migration
+        )
+        if plan is None or not plan.victims:
+            return False
+        moved = sum(
+            self.jobs[victim].cell_size * self.jobs[victim].spec.tasks
+            for victim in plan.victims
+        )
+        wanted = job.cell_size * job.spec.tasks
+        if moved > wanted * MAX_MIGRATED_SHARE:
+            return False
+        if moved + wanted > self.cells.counts.idle[0] + moved:
+            return False
+        self._place(job, plan, EvictReason.MIGRATE, now, actions)
+        return True
+
+    def _cost_for_claim(self, job_id: str) -> float | None:
+        job = self.jobs.get(job_id)
+        if job is None or job.guaranteed:
+            return None
+        if job.state is JobState.CLEARING:
+            return None
+        weight = 4.0 if job.spec.urgent else 1.0
+        return weight * (1 + job.cell_size * job.spec.tasks)
+
+    def _cost_for_urgent(self, job_id: str) -> float | None:
+        job = self.jobs.get(job_id)
+        if job is None or job.spec.urgent:
+            return None
+        return self._cost_for_claim(job_id)
+
+    def _cost_for_migration(self, job_id: str) -> float | None:
+        job = self.jobs.get(job_id)
+        if job is None or job.state is not JobState.RUNNING:
+            return None
+        return self._cost_for_urgent(job_id)
+
+    # Holding and releasing
+
+    def _apply_claim(self, job: JobView, claim: ClaimPlan) -> None:
+        for owner, cell in claim.bindings:
+            self.ledger.bind(owner, cell)
+        for owner in claim.owners:
+            self.ledger.use(owner, job.spec.job_id)
+        used = set(map(id, claim.owners))
+        for owner, _ in claim.bindings:
+            if id(owner) not in used:
+                self.ledger.unbind(owner)
+
+    def _place(
+        self,
+        job: JobView,
+        plan: EvictionPlan,
+        reason: EvictReason | None,
+        now: float,
+        actions: list[Action],
+    ) -> None:
+        guaranteed = isinstance(plan, ClaimPlan)
+        places = tuple(
+            TaskPlace(cell.worker_id, cell.offset, cell.size)
+            for cell in plan.cells
+        )
+        for victim in sorted(plan.victims):
+            if self._evict(self.jobs[victim], reason, actions):
+                job.blocked_on.add(victim)
+        self._hold(job, plan.cells, Placement(places, guaranteed))
+        if job.blocked_on:
+            job.state = JobState.CLEARING
+            self.queue.remove(job.spec.job_id)
+        else:
+            self._start(job, now, actions)
+
+    def _evict(
+        self,
+        victim: JobView,
+        reason: EvictReason | None,
+        actions: list[Action],
+    ) -> bool:
+        """Ask for a job's stop; return whether cells must be waited for."""
+        if victim.state is JobState.STOPPING:
+            return True
+        checkpoint = self.options.checkpoint
+        victim.state = JobState.STOPPING
+        actions.append(
+            EvictJob(
+                victim.spec.job_id,
+                victim.attempt,
+                reason or EvictReason.RECLAIM,
+                checkpoint,
+            )
+        )
+        return True
+
+    def _hold(
+        self, job: JobView, cells: list[Cell], placement: Placement
+    ) -> None:
+        spec = job.spec
+        job.cells = list(cells)
+        job.placement = placement
+        for cell in cells:
+            self.cells.hold(cell, spec.job_id, placement.guaranteed)
+        for task in placement.tasks:
+            self._jobs_on.setdefault(task.worker_id, set()).add(spec.job_id)
+            if not job.cell_size:
+                request = CoreRequest(spec.cores, spec.memory_gb)
+                self.cores.change(task.worker_id, request, -1)
+        self._count_usage(job, 1)
+
+    def _count_usage(self, job: JobView, sign: int) -> None:
+        name = job.spec.customer
+        if job.cell_size:
+            held = job.cell_size * job.spec.tasks
+            used = self._used_accelerators.get(name, 0)
+            self._used_accelerators[name] = used + sign * held
+        else:
+            cores = job.spec.cores * job.spec.tasks
+            used_cores = self._used_cores.get(name, 0.0)
+            self._used_cores[name] = used_cores + sign * cores
+
+    def _release(self, job: JobView) -> None:
+        spec = job.spec
+        if job.placement is None:
+            return
+        for cell in job.cells:
+            self.cells.release(cell, spec.job_id)
+        for task in job.placement.tasks:
+            self._jobs_on[task.worker_id].discard(spec.job_id)
+            if not job.cell_size:
+                request = CoreRequest(spec.cores, spec.memory_gb)
+                self.cores.change(task.worker_id, request, 1)
+        if job.placement.guaranteed:
+            self.ledger.release_job(spec.customer, spec.job_id)
+        self._count_usage(job, -1)
+        job.placement = None
+        job.cells = []
+        job.blocked_on = set()
+        job.started_at = None
+
+    def _unblock(self, gone: str, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for job in self._clearing():
+            job.blocked_on.discard(gone)
+            if not job.blocked_on:
+                self._start(job, now, actions)
+        return actions
+
+    def _clearing(self) -> list[JobView]:
+        return [
+            job for job in self.jobs.values() if job.state is JobState.CLEARING
+        ]
+
+    def _start(self, job: JobView, now: float, actions: list[Action]) -> None:
+        job.attempt += 1
+        job.state = JobState.PLACED
+        self.queue.remove(job.spec.job_id)
+        actions.append(StartJob(job.spec.job_id, job.attempt, job.placement))
+
+    # Zones
+
+    def take_out(self) -> list[Action]:
+        """Stop placing work and ask every placed job to move away."""
+        self.zone_in = False
+        actions: list[Action] = []
+        for job in list(self.jobs.values()):
+            if job.state is JobState.CLEARING:
+                self._release(job)
+                self._enqueue(job, job.submitted)
+            elif job.state in (JobState.PLACED, JobState.RUNNING):
+                self._evict(job, EvictReason.ZONE_OUT, actions)
+        return actions
+
+    def bring_back(self) -> None:
+        """Place work again."""
+        self.zone_in = True
+
+    def queued_jobs(self) -> list[JobView]:
+        """Return the waiting jobs in order."""
+        return [self.jobs[job_id] for job_id in self.queue.in_order()]
+
+    def withdraw(self, job_id: str) -> JobView:
+        """Take a waiting job out, to hand it to another zone."""
+        job = self.jobs[job_id]
+        self._forget(job)
+        return job
+
+    # Invariants
+
+    def assert_invariants(self) -> None:
+        """Raise ``InvariantViolation`` when a promise does not hold."""
+        short = self.ledger.shortfall()
+        if short > self.allowed_shortfall:
+            raise InvariantViolation(
+                f"{short} guaranteed accelerators cannot be reclaimed,"
+                f" lost capacity explains {self.allowed_shortfall}"
+            )
+        self.allowed_shortfall = short
+
+    def assert_whole_state(self) -> None:
+        """Check every cell and job against each other; linear, for tests."""
+        holders: dict[tuple[str, int], str] = {}
+        for job_id, job in self.jobs.items():
+            placed = job.placement is not None
+            if placed == (job.state is JobState.QUEUED):
+                raise InvariantViolation(f"{job_id} is {job.state} wrongly")
+            if placed and len(job.placement.tasks) != job.spec.tasks:
+                raise InvariantViolation(f"{job_id} is placed in part")
+            if job.state is JobState.QUEUED and job_id not in self.queue:
+                raise InvariantViolation(f"{job_id} waits in no queue")
+            if job.state in (JobState.PLACED, JobState.RUNNING):
+                self._assert_holds(job, holders)
+        for worker in self.cells.workers.values():
+            if worker.counts != worker.recount():
+                raise InvariantViolation(f"{worker.spec} counts are stale")
+            for job_id in worker.holder:
+                if job_id is not None and job_id not in self.jobs:
+                    raise InvariantViolation(f"{job_id} holds a cell, ended")
+
+    def _assert_holds(
+        self, job: JobView, holders: dict[tuple[str, int], str]
+    ) -> None:
+        job_id = job.spec.job_id
+        for cell in job.cells:
+            worker = self.cells.workers.get(cell.worker_id)
+            if worker is None:
+                continue
+            for slot in range(cell.offset, cell.offset + cell.size):
+                if worker.holder[slot] != job_id:
+                    raise InvariantViolation(f"{job_id} lost {cell}")
+                if worker.hard[slot] != job.guaranteed:
+                    raise InvariantViolation(f"{job_id} {cell} is mismarked")
+                taken = holders.setdefault((cell.worker_id, slot), job_id)
+                if taken != job_id:
+                    raise InvariantViolation(f"{cell} has two holders")
--- /dev/null
+++ b/hickorywing/rules.py
@@ -0,0 +1,237 @@
+"""The rules that operators lay over the inventory, and their checks."""
+
+from collections.abc import Iterator
+import hashlib
+import hmac
+
+from pydantic import Field
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from hickorywing.documents import check_model
+from hickorywing.documents import Model
+from hickorywing.findings import Finding
+from hickorywing.inventory import InventoryModel
+from hickorywing.policy.cells import cut_roots
+from hickorywing.policy.cells import fits
+from hickorywing.policy.cells import size_index
+from hickorywing.policy.cells import SIZES
+from hickorywing.policy.model import Customer
+from hickorywing.policy.model import Guarantee
+from hickorywing.policy.model import round_up_cell
+
+__all__ = [
+    "CustomerModel",
+    "GuaranteeModel",
+    "RulesModel",
+    "allot_guarantees",
+    "check_rules",
+    "hash_token",
+]
+
+TokenHash = str
+
+
+class CustomerModel(Model):
+    """A customer, its quota and the hashes of its bearer tokens."""
+
+    name: str = Field(min_length=1, max_length=80, pattern=r"^[\w.-]+$")
+    token_sha256: tuple[TokenHash, ...] = ()
+    quota_accelerators: int | None = Field(default=None, ge=0)
+    quota_cores: float | None = Field(default=None, ge=0)
+
+
+class OperatorModel(Model):
+    """An operator and the hashes of its bearer tokens."""
+
+    name: str = Field(min_length=1)
+    token_sha256: tuple[TokenHash, ...] = ()
+
+
+class GuaranteeModel(Model):
+    """``count`` cells of ``accelerators`` each that a customer may claim.
+
+    Without a zone, the cells are allotted over the zones in the order of the
+    inventory.
+    """
+
+    customer: str
+    accelerators: int = Field(ge=1)
+    count: int = Field(ge=1)
+    zone: str | None = None
+
+
+class RulesModel(Model):
+    """Customers, operators and guarantees."""
+
+    customers: tuple[CustomerModel, ...] = ()
+    operators: tuple[OperatorModel, ...] = ()
+    guarantees: tuple[GuaranteeModel, ...] = ()
+
+    def find_customer(self, token: str) -> str | None:
+        """Return the customer whose token this is."""
+        return _find_owner(token, self.customers)
+
+    def find_operator(self, token: str) -> str | None:
+        """Return the operator whose token this is."""
+        return _find_owner(token, self.operators)
+
+    def policy_customers(self) -> list[Customer]:
+        """Return the customers' quotas for the decisions."""
+        return [
+            Customer(item.name, item.quota_accelerators, item.quota_cores)
+            for item in self.customers
+        ]
+
+
+def hash_token(token: str) -> TokenHash:
+    """Return the form in which a bearer token is kept."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def _find_owner(
+    token: str, owners: tuple[CustomerModel | OperatorModel, ...]
+) -> str | None:
+    hashed = hash_token(token)
+    found = None
+    for owner in owners:
+        for known in owner.token_sha256:
+            if hmac.compare_digest(known, hashed):
+                found = owner.name
+    return found
+
+
+def check_rules(
+    data: object, inventory: InventoryModel, source: str = "rules"
+) -> Result[RulesModel, tuple[Finding, ...]]:
+    """Check rules against the inventory that they apply to."""
+    checked = check_model(data, RulesModel, source)
+    if isinstance(checked, Failure):
+        return checked
+    rules = checked.unwrap()
+    findings = [*_find_name_problems(rules, source)]
+    findings += _find_guarantee_problems(rules, inventory, source)
+    if findings:
+        return Failure(tuple(findings))
+    allotted = allot_guarantees(rules, inventory, source)
+    if isinstance(allotted, Failure):
+        return allotted
+    return Success(rules)
+
+
+def _find_name_problems(rules: RulesModel, source: str) -> Iterator[Finding]:
+    seen: dict[str, int] = {}
+    for index, customer in enumerate(rules.customers):
+        if customer.name in seen:
+            yield Finding(
+                f"{source}: customers[{index}].name",
+                f"{customer.name!r} is also customers[{seen[customer.name]}]",
+                "a name that no other customer has",
+            )
+        seen.setdefault(customer.name, index)
+    owners = [("customers", item) for item in enumerate(rules.customers)]
+    owners += [("operators", item) for item in enumerate(rules.operators)]
+    holder: dict[str, str] = {}
+    for kind, (index, owner) in owners:
+        for number, token in enumerate(owner.token_sha256):
+            place = f"{source}: {kind}[{index}].token_sha256[{number}]"
+            if len(token) != 64 or set(token) - set("0123456789abcdef"):
+                yield Finding(place, "no SHA-256", "64 hexadecimal digits")
+            if holder.setdefault(token, owner.name) != owner.name:
+                yield Finding(
+                    place,
+                    f"{holder[token]!r} has the same token",
+                    "a token of its own",
+                )
+
+
+def _find_guarantee_problems(
+    rules: RulesModel, inventory: InventoryModel, source: str
+) -> Iterator[Finding]:
+    names = {customer.name for customer in rules.customers}
+    for index, guarantee in enumerate(rules.guarantees):
+        place = f"{source}: guarantees[{index}]"
+        if guarantee.customer not in names:
+            yield Finding(
+                f"{place}.customer",
+                f"unknown customer {guarantee.customer!r}",
+                f"one of {', '.join(sorted(names)) or 'none'}",
+            )
+        if guarantee.zone is not None and guarantee.zone not in (
+            inventory.zones
+        ):
+            yield Finding(
+                f"{place}.zone",
+                f"unknown availability zone {guarantee.zone!r}",
+                f"one of {', '.join(inventory.zones) or 'none'}",
+            )
+        if guarantee.accelerators not in SIZES:
+            yield Finding(
+                f"{place}.accelerators",
+                f"{guarantee.accelerators} is no size of a cell",
+                f"one of {', '.join(map(str, SIZES))}",
+            )
+
+
+def allot_guarantees(
+    rules: RulesModel, inventory: InventoryModel, source: str = "rules"
+) -> Result[list[Guarantee], tuple[Finding, ...]]:
+    """Give every guaranteed cell a zone, the same way in every process.
+
+    Fails with the customer and the shape of each guarantee that does not fit
+    beside the ones before it, largest cells first.
+    """
+    room = {zone: [0] * len(SIZES) for zone in inventory.zones}
+    for worker in inventory.workers:
+        for _, size in cut_roots(worker.accelerators):
+            room[worker.zone][size_index(size)] += 1
+    wanted = {zone: [0] * len(SIZES) for zone in inventory.zones}
+    allotted: list[Guarantee] = []
+    findings: list[Finding] = []
+    numbered = sorted(
+        enumerate(rules.guarantees),
+        key=lambda item: (item[1].zone is None, -item[1].accelerators),
+    )
+    for index, guarantee in numbered:
+        missing = _allot_one(guarantee, inventory, room, wanted, allotted)
+        if missing:
+            zone = guarantee.zone or "any availability zone"
+            findings.append(
+                Finding(
+                    f"{source}: guarantees[{index}]",
+                    f"{missing} of {guarantee.count} cells of"
+                    f" {guarantee.accelerators} accelerators for"
+                    f" {guarantee.customer!r} do not fit {zone}",
+                    "guarantees that the inventory holds all at once",
+                )
+            )
+    return Failure(tuple(findings)) if findings else Success(allotted)
+
+
+def _allot_one(
+    guarantee: GuaranteeModel,
+    inventory: InventoryModel,
+    room: dict[str, list[int]],
+    wanted: dict[str, list[int]],
+    allotted: list[Guarantee],
+) -> int:
+    """Allot cells of one guarantee; return how many found no place."""
+    size = round_up_cell(guarantee.accelerators)
+    zones = [guarantee.zone] if guarantee.zone else list(inventory.zones)
+    left = guarantee.count
+    for zone in zones:
+        given = 0
+        while left and _fits_one_more(room[zone], wanted[zone], size):
+            wanted[zone][size_index(size)] += 1
+            given += 1
+            left -= 1
+        if given:
+            allotted.append(Guarantee(guarantee.customer, size, given, zone))
+    return left
+
+
+def _fits_one_more(room: list[int], wanted: list[int], size: int) -> bool:
+    more = list(wanted)
+    more[size_index(size)] += 1
+    return fits(room, more) == 0
--- /dev/null
+++ b/hickorywing/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform: for tests and a first run only."""
--- /dev/null
+++ b/hickorywing/standins/workers.py
@@ -0,0 +1,154 @@
+"""A worker that runs tasks under leases, with checkpoints and faults."""
+
+import asyncio
+from dataclasses import dataclass
+import time
+
+from blacksheep import Application
+from blacksheep import Request
+from blacksheep import Response
+import msgspec
+
+from hickorywing.web import answer_json
+from hickorywing.workers import TaskLaunch
+from hickorywing.workers import TaskNames
+from hickorywing.workers import TaskState
+from hickorywing.workers import TaskStatus
+from hickorywing.workers import TaskStatuses
+
+__all__ = ["WorkerFaults", "WorkerTasks", "make_worker_app"]
+
+SWEEP_EVERY_S = 0.05
+
+
+class WorkerFaults(msgspec.Struct):
+    """What the worker does wrong at the moment."""
+
+    fail_all: bool = False
+    slow: float = 1.0
+
+
+@dataclass(slots=True)
+class RunningTask:
+    """One task; times are monotonic seconds."""
+
+    launch: TaskLaunch
+    started_at: float
+    lease_until: float
+    state: TaskState = TaskState.RUNNING
+    kept_s: float = 0.0
+    started_wall: float = 0.0
+
+
+class WorkerTasks:
+    """The tasks of one worker; time is an argument."""
+
+    def __init__(self) -> None:
+        self.tasks: dict[str, RunningTask] = {}
+        self.starts: list[TaskLaunch] = []
+        self.faults = WorkerFaults()
+
+    def start(self, launch: TaskLaunch, now: float) -> None:
+        """Start a task; a repeat of the same task is harmless."""
+        if launch.task_id in self.tasks:
+            return
+        self.starts.append(launch)
+        task = RunningTask(launch, now, now + launch.lease_s)
+        task.kept_s = launch.kept_s
+        task.started_wall = time.time()
+        if self.faults.fail_all:
+            task.state = TaskState.FAILED
+        self.tasks[launch.task_id] = task
+
+    def renew(self, names: TaskNames, now: float) -> None:
+        """Extend leases."""
+        for task_id in names.task_ids:
+            task = self.tasks.get(task_id)
+            if task is not None:
+                task.lease_until = now + names.lease_s
+
+    def stop(self, names: TaskNames, now: float) -> None:
+        """Stop tasks, keeping their progress when asked to."""
+        for task_id in names.task_ids:
+            task = self.tasks.get(task_id)
+            if task is None or task.state is not TaskState.RUNNING:
+                continue
+            if names.checkpoint:
+                task.kept_s += (now - task.started_at) / self.faults.slow
+            task.state = TaskState.STOPPED
+
+    def sweep(self, now: float) -> None:
+        """Finish tasks whose time is over and stop those without lease."""
+        for task in self.tasks.values():
+            if task.state is not TaskState.RUNNING:
+                continue
+            ran = (now - task.started_at) / self.faults.slow
+            if task.lease_until <= now:
+                task.state = TaskState.STOPPED
+            elif task.launch.kept_s + ran >= task.launch.run_s:
+                task.state = TaskState.DONE
+
+    def forget(self, names: TaskNames) -> None:
+        """Drop ended tasks that the agent has taken note of."""
+        for task_id in names.task_ids:
+            task = self.tasks.get(task_id)
+            if task is not None and task.state is not TaskState.RUNNING:
+                del self.tasks[task_id]
+
+    def statuses(self) -> TaskStatuses:
+        """Return every task's state."""
+        return TaskStatuses(
+            [
+                TaskStatus(task_id, task.state, task.kept_s)
+                for task_id, task in self.tasks.items()
+            ]
+        )
+
+
+def make_worker_app(worker: WorkerTasks) -> Application:
+    """Return the worker as an HTTP application."""
+    app = Application()
+
+    async def sweep_forever() -> None:
+        while True:
+            worker.sweep(time.monotonic())
+            await asyncio.sleep(SWEEP_EVERY_S)
+
+    @app.on_start
+    async def start_sweeping(_: Application) -> None:
+        app.sweeper = asyncio.create_task(sweep_forever())
+
+    async def decode(request: Request, kind: type) -> msgspec.Struct:
+        return msgspec.json.decode(await request.read() or b"", type=kind)
+
+    @app.router.post("/tasks/start")
+    async def start_task(request: Request) -> Response:
+        worker.start(await decode(request, TaskLaunch), time.monotonic())
+        return Response(204)
+
+    @app.router.post("/tasks/renew")
+    async def renew_tasks(request: Request) -> Response:
+        worker.renew(await decode(request, TaskNames), time.monotonic())
+        worker.sweep(time.monotonic())
+        return answer_json(200, worker.statuses())
+
+    @app.router.post("/tasks/stop")
+    async def stop_tasks(request: Request) -> Response:
+        worker.stop(await decode(request, TaskNames), time.monotonic())
+        return answer_json(200, worker.statuses())
+
+    @app.router.post("/tasks/forget")
+    async def forget_tasks(request: Request) -> Response:
+        worker.forget(await decode(request, TaskNames))
+        return Response(204)
+
+    @app.router.get("/starts")
+    async def list_starts(request: Request) -> Response:
+        return answer_json(200, worker.starts)
+
+    @app.router.post("/faults")
+    async def set_faults(request: Request) -> Response:
+        worker.faults = await decode(request, WorkerFaults)
+        return Response(204)
+
+    return app
--- /dev/null
+++ b/hickorywing/timeline.py
@@ -0,0 +1,55 @@
+"""Record what happened in one process, and merge it over all processes."""
+
+from collections import deque
+from collections.abc import Iterable
+import time
+
+import msgspec
+
+from hickorywing.logs import get_logger
+
+__all__ = ["Event", "Timeline", "merge_events"]
+
+KEPT_EVENTS = 2000
+
+
+class Event(msgspec.Struct, frozen=True):
+    """One change of state; ``at`` is wall-clock seconds since the epoch."""
+
+    at: float
+    process: str
+    number: int
+    kind: str
+    subject: str
+    detail: str = ""
+
+
+class Timeline:
+    """The latest events of one process."""
+
+    def __init__(self, process: str) -> None:
+        self.process = process
+        self._events: deque[Event] = deque(maxlen=KEPT_EVENTS)
+        self._number = 0
+
+    def record(self, kind: str, subject: str, detail: str = "") -> None:
+        """Record a change of state and log it."""
+        self._number += 1
+        event = Event(
+            time.time(), self.process, self._number, kind, subject, detail
+        )
+        self._events.append(event)
+        get_logger().info(
+            kind, process=self.process, subject=subject, detail=detail
+        )
+
+    def events(self, since: float = 0.0) -> list[Event]:
+        """Return the events at or after a wall-clock time."""
+        return [event for event in self._events if event.at >= since]
+
+
+def merge_events(parts: Iterable[Iterable[Event]]) -> list[Event]:
+    """Merge the events of several processes by time, then by process."""
+    merged = [event for part in parts for event in part]
+    merged.sort(key=lambda event: (event.at, event.process, event.number))
+    return merged
--- /dev/null
+++ b/hickorywing/ui.py
@@ -0,0 +1,574 @@
+"""``hickorywing``: the command line for operators and callers.
+
+Exit codes: 0 done, 1 refused (surely not run), 2 wrong input, 3 outcome
+unknown, 4 no entry reachable.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import datetime
+import enum
+import os
+from pathlib import Path
+import sys
+from typing import Annotated
+from typing import Any
+
+import cappa
+import msgspec
+from returns.result import Failure
+from rich.console import Console
+from rich.table import Table as RichTable
+
+from hickorywing.client import Answer
+from hickorywing.client import Client
+from hickorywing.client import NotReachable
+from hickorywing.documents import load_document
+from hickorywing.documents import Model
+from hickorywing.errors import UserError
+from hickorywing.findings import Finding
+from hickorywing.findings import FindingsError
+from hickorywing.inventory import check_inventory
+from hickorywing.inventory import InventoryModel
+from hickorywing.rules import check_rules
+from hickorywing.rules import hash_token
+from hickorywing.rules import RulesModel
+from hickorywing.settings import AgentSettings
+from hickorywing.settings import EntrySettings
+from hickorywing.settings import StandinSettings
+
+__all__ = ["ExitCode", "main"]
+
+PROGRESS_AFTER_S = 2.0
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes that scripts can rely on."""
+
+    DONE = 0
+    REFUSED = 1
+    WRONG_INPUT = 2
+    UNKNOWN = 3
+    NOT_REACHABLE = 4
+
+
+@cappa.command(name="check")
+@dataclass
+class Check:
+    """Check inventory, rules or settings files without any entry.
+
+    Rules are checked against the inventory file among the arguments.
+    """
+
+    files: Annotated[list[Path], cappa.Arg(help="Files to check.")]
+
+
+@cappa.command(name="inventory")
+@dataclass
+class LoadInventory:
+    """Load an inventory from a file."""
+
+    file: Path
+
+
+@cappa.command(name="rules")
+@dataclass
+class LoadRules:
+    """Load rules from a file."""
+
+    file: Path
+
+
+@cappa.command(name="config")
+@dataclass
+class ShowConfig:
+    """Show the configuration in force at the entry."""
+
+
+@cappa.command(name="zone")
+@dataclass
+class Zone:
+    """Take an availability zone out, or bring it back in."""
+
+    state: Annotated[str, cappa.Arg(choices=["out", "in"])]
+    zone: str
+    if_version: Annotated[
+        int | None,
+        cappa.Arg(long=True, help="Only from this configuration version."),
+    ] = None
+
+
+@cappa.command(name="backend")
+@dataclass
+class Backend:
+    """Drain a backend server or worker, or let it take work again."""
+
+    state: Annotated[str, cappa.Arg(choices=["drain", "resume"])]
+    name: str
+
+
+@cappa.command(name="status")
+@dataclass
+class Status:
+    """Show zones, controllers and agents."""
+
+
+@cappa.command(name="timeline")
+@dataclass
+class Timeline:
+    """Show the events of all processes in order of time."""
+
+    last: Annotated[
+        int, cappa.Arg(long=True, help="How many of the latest events.")
+    ] = 50
+    subject: Annotated[
+        str, cappa.Arg(long=True, help="Only events of this subject.")
+    ] = ""
+
+
+@cappa.command(name="submit")
+@dataclass
+class Submit:
+    """Submit a job."""
+
+    id: Annotated[
+        str, cappa.Arg(long=True, help="Own id; repeats are harmless.")
+    ] = ""
+    tasks: Annotated[int, cappa.Arg(long=True)] = 1
+    accelerators: Annotated[
+        int, cappa.Arg(long=True, help="Accelerators of each task.")
+    ] = 0
+    cores: Annotated[float, cappa.Arg(long=True)] = 1.0
+    memory_gb: Annotated[float, cappa.Arg(long=True)] = 1.0
+    adjacency: Annotated[
+        str, cappa.Arg(long=True, choices=["worker", "rack", "zone"])
+    ] = "zone"
+    run_s: Annotated[
+        float, cappa.Arg(long=True, help="Expected run time in seconds.")
+    ] = 60.0
+    urgent: Annotated[bool, cappa.Arg(long=True)] = False
+
+
+@cappa.command(name="show")
+@dataclass
+class Show:
+    """Show one job."""
+
+    id: str
+
+
+@cappa.command(name="list")
+@dataclass
+class ListJobs:
+    """List jobs."""
+
+
+@cappa.command(name="cancel")
+@dataclass
+class Cancel:
+    """Cancel jobs."""
+
+    ids: Annotated[list[str], cappa.Arg(help="Job ids.")] = field(
+        default_factory=list
+    )
+    all: Annotated[
+        bool, cappa.Arg(long=True, help="All jobs of this customer.")
+    ] = False
+
+
+@cappa.command(name="call")
+@dataclass
+class Call:
+    """Send a request to a service."""
+
+    service: str
+    path: str
+    method: Annotated[str, cappa.Arg(long=True)] = "GET"
+    body: Annotated[str, cappa.Arg(long=True)] = ""
+    key: Annotated[str, cappa.Arg(long=True, help="Idempotency key.")] = ""
+
+
+@cappa.command(name="job")
+@dataclass
+class Job:
+    """Submit, show, list and cancel jobs."""
+
+    command: cappa.Subcommands[Submit | Show | ListJobs | Cancel]
+
+
+@cappa.command(name="hash-token")
+@dataclass
+class HashToken:
+    """Print the hash of a bearer token for the rules."""
+
+    token: str
+
+
+@cappa.command(name="hickorywing")
+@dataclass
+class Hickorywing:
+    """Operate hickorywing and submit jobs to it."""
+
+    command: cappa.Subcommands[
+        Check
+        | LoadInventory
+        | LoadRules
+        | ShowConfig
+        | Zone
+        | Backend
+        | Status
+        | Timeline
+        | Job
+        | Call
+        | HashToken
+    ]
+    entry: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("HICKORYWING_ENTRY"),
+            help="URL of an entry; HICKORYWING_ENTRY.",
+        ),
+    ] = "http://127.0.0.1:8080"
+    token: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("HICKORYWING_TOKEN"),
+            help="Bearer token; HICKORYWING_TOKEN.",
+        ),
+    ] = ""
+    json: Annotated[
+        bool, cappa.Arg(long=True, help="Print JSON for other programs.")
+    ] = False
+
+
+# Offline commands
+
+
+def check_files(files: list[Path]) -> list[Finding]:
+    """Return the findings of all files together."""
+    findings: list[Finding] = []
+    inventory: InventoryModel | None = None
+    for path in sorted(
+        files, key=lambda item: guess_kind(item) != "inventory"
+    ):
+        kind = guess_kind(path)
+        if kind == "inventory":
+            checked = _load(path, check_inventory)
+            if not isinstance(checked, Failure):
+                inventory = checked.unwrap()
+        elif kind == "rules" and inventory is not None:
+            checked = _load(path, _make_rules_check(inventory))
+        elif kind == "rules":
+            checked = load_document(path, RulesModel)
+        else:
+            checked = load_document(path, _settings_model(path))
+        if isinstance(checked, Failure):
+            findings.extend(checked.failure())
+    return findings
+
+
+class AnyDocument(Model):
+    """Any JSON object; its sense is checked elsewhere."""
+
+    model_config = {"extra": "allow"}
+
+
+def _load(path: Path, check: Callable[..., Any]) -> Any:
+    loaded = load_document(path, AnyDocument)
+    if isinstance(loaded, Failure):
+        return loaded
+    return check(loaded.unwrap().model_dump(), str(path))
+
+
+def _make_rules_check(inventory: InventoryModel) -> Callable[..., Any]:
+    def check(data: object, source: str) -> Any:
+        return check_rules(data, inventory, source)
+
+    return check
+
+
+def guess_kind(path: Path) -> str:
+    """Return the kind of a file by its name."""
+    for kind in ("inventory", "rules", "entry", "agent"):
+        if kind in path.name:
+            return kind
+    return "standin"
+
+
+def _settings_model(path: Path) -> type[Model]:
+    models = {"entry": EntrySettings, "agent": AgentSettings}
+    return models.get(guess_kind(path), StandinSettings)
+
+
+# Online commands
+
+
+async def run_online(options: Hickorywing) -> ExitCode:
+    """Send what a command asks for and print the answer."""
+    client = Client(options.entry, options.token)
+    try:
+        answer = await with_progress(send_command(client, options.command))
+    finally:
+        await client.close()
+    return print_answer(options, answer)
+
+
+async def with_progress(work: Awaitable[Answer]) -> Answer:
+    """Show on a terminal that a slow answer is still awaited."""
+    task = asyncio.ensure_future(work)
+    console = Console(stderr=True)
+    done, _ = await asyncio.wait([task], timeout=PROGRESS_AFTER_S)
+    if not done and console.is_terminal:
+        with console.status("waiting for the answer"):
+            await asyncio.wait([task])
+    elif not done:
+        console.print("waiting for the answer")
+    return await task
+
+
+async def send_command(client: Client, command: object) -> Answer:
+    """Send the request of one command."""
+    if isinstance(command, Job):
+        return await send_job_command(client, command.command)
+    if isinstance(command, LoadInventory):
+        body = read_document(command.file)
+        return await client.call("PUT", "/v1/inventory", body)
+    if isinstance(command, LoadRules):
+        body = read_document(command.file)
+        return await client.call("PUT", "/v1/rules", body)
+    if isinstance(command, Zone):
+        headers = {}
+        if command.if_version is not None:
+            headers["If-Match"] = str(command.if_version)
+        path = f"/v1/zones/{command.zone}/{command.state}"
+        return await client.call("POST", path, b"", headers)
+    if isinstance(command, Backend):
+        path = f"/v1/backends/{command.name}/{command.state}"
+        return await client.call("POST", path)
+    if isinstance(command, Call):
+        return await send_call(client, command)
+    paths = {
+        ShowConfig: "/v1/config",
+        Status: "/v1/status",
+        Timeline: "/v1/timeline",
+    }
+    return await client.call("GET", paths[type(command)])
+
+
+async def send_job_command(client: Client, command: object) -> Answer:
+    """Send the request of one command about jobs."""
+    if isinstance(command, Submit):
+        wanted = {
+            "tasks": command.tasks,
+            "accelerators": command.accelerators,
+            "cores": command.cores,
+            "memory_gb": command.memory_gb,
+            "adjacency": command.adjacency,
+            "run_s": command.run_s,
+            "urgent": command.urgent,
+        }
+        if command.id:
+            wanted["id"] = command.id
+        return await client.call(
+            "POST", "/v1/jobs", msgspec.json.encode(wanted)
+        )
+    if isinstance(command, Show):
+        return await client.call("GET", f"/v1/jobs/{command.id}")
+    if isinstance(command, ListJobs):
+        return await client.call("GET", "/v1/jobs")
+    if not command.ids and not command.all:
+        raise UserError("name the jobs to cancel, or say --all")
+    body = msgspec.json.encode({"ids": command.ids})
+    return await client.call("POST", "/v1/cancellations", body)
+
+
+async def send_call(client: Client, command: Call) -> Answer:
+    """Send a request to a service."""
+    headers = {"Idempotency-Key": command.key} if command.key else {}
+    path = f"/v1/services/{command.service}/{command.path.lstrip('/')}"
+    return await client.call(
+        command.method.upper(), path, command.body.encode(), headers
+    )
+
+
+def read_document(path: Path) -> bytes:
+    """Return a document as plain JSON; raise ``FindingsError``."""
+    loaded = load_document(path, AnyDocument)
+    if isinstance(loaded, Failure):
+        raise FindingsError(loaded.failure())
+    return msgspec.json.encode(loaded.unwrap().model_dump())
+
+
+# Output
+
+
+def print_answer(options: Hickorywing, answer: Answer) -> ExitCode:
+    """Print an answer and return the exit code that it means."""
+    if not answer.ok:
+        print_refusal(answer)
+        return refusal_code(answer)
+    if options.json or isinstance(options.command, Call | ShowConfig):
+        sys.stdout.write(answer.body.decode(errors="replace"))
+        sys.stdout.write("\n")
+        return ExitCode.DONE
+    printers: dict[type, Callable[[Any], None]] = {
+        Status: print_status,
+        Job: print_jobs,
+    }
+    command = options.command
+    if isinstance(command, Timeline):
+        print_timeline(command, answer.data())
+    else:
+        printers.get(type(command), print_change)(answer.data())
+    return ExitCode.DONE
+
+
+def refusal_code(answer: Answer) -> ExitCode:
+    """Return the exit code of a refusal."""
+    if answer.run == "unknown":
+        return ExitCode.UNKNOWN
+    if answer.status in (400, 401, 403, 404, 413, 422, 431):
+        return ExitCode.WRONG_INPUT
+    return ExitCode.REFUSED
+
+
+def print_refusal(answer: Answer) -> None:
+    """Print a refusal with all its findings."""
+    try:
+        problem = answer.data()
+        lines = [f"{problem['title']} ({answer.status}, {answer.run})"]
+        lines += [problem["detail"]] if problem.get("detail") else []
+        lines += problem.get("findings", [])
+    except (msgspec.DecodeError, TypeError, KeyError):
+        lines = [f"status {answer.status}", answer.body.decode("latin-1")]
+    after = answer.headers.get("retry-after")
+    if after:
+        lines.append(f"try again in {after} s")
+    print("\n".join(lines), file=sys.stderr)
+
+
+def make_console() -> Console:
+    """Return a console wide enough for tables when piped."""
+    width = None if sys.stdout.isatty() else 110
+    return Console(width=width)
+
+
+def make_table(*columns: str) -> RichTable:
+    """Return a plain table."""
+    table = RichTable(box=None, pad_edge=False)
+    for column in columns:
+        table.add_column(column)
+    return table
+
+
+def print_status(status: Any) -> None:
+    """Print zones and agents."""
+    console = make_console()
+    ago = status["config_confirmed_s_ago"]
+    console.print(
+        f"configuration {status['config_version']},"
+        f" confirmed {ago} s ago by {status['entry']}"
+    )
+    zones = make_table(
+        "zone", "service", "controller", "free", "queued", "agents"
+    )
+    for zone in status["zones"]:
+        zones.add_row(
+            zone["zone"],
+            "in" if zone["is_in"] else "OUT",
+            zone["controller"].partition("#")[0] or "none heard",
+            str(zone["free_accelerators"]),
+            str(zone["jobs_queued"]),
+            str(zone["agents"]),
+        )
+    console.print(zones)
+    agents = make_table("agent", "zone", "presence", "service", "worker")
+    for agent in status["agents"]:
+        agents.add_row(
+            agent["name"],
+            agent["zone"],
+            agent["presence"],
+            agent["service"],
+            agent["worker"],
+        )
+    console.print(agents)
+
+
+def print_jobs(data: Any) -> None:
+    """Print one job, a list of jobs, or what a cancellation did."""
+    if isinstance(data, dict) and "ended_already" in data:
+        print(f"cancelled {len(data['cancelled'])}", end="")
+        print(f", ended already {len(data['ended_already'])}")
+        return
+    rows = data if isinstance(data, list) else [data]
+    table = make_table("job", "status", "zone", "attempt", "gang", "workers")
+    for row in rows:
+        table.add_row(
+            row["id"],
+            row["status"],
+            row["zone"],
+            str(row["attempt"]),
+            f"{row['tasks']} x {row['accelerators']}",
+            ", ".join(row.get("workers", [])) or row.get("reason", ""),
+        )
+    make_console().print(table)
+
+
+def print_change(change: Any) -> None:
+    """Print who has a change of the configuration in force."""
+    print(f"version {change['version']} accepted in {change['waited_s']} s")
+    print(f"in force at {len(change['in_force'])} processes")
+    if change["not_confirmed"]:
+        print("not confirmed: " + ", ".join(change["not_confirmed"]))
+
+
+def print_timeline(command: Timeline, events: Any) -> None:
+    """Print events, oldest first."""
+    wanted = [
+        event
+        for event in events
+        if not command.subject or event["subject"] == command.subject
+    ]
+    for event in wanted[-command.last :]:
+        at = datetime.datetime.fromtimestamp(event["at"])
+        clock = at.strftime("%H:%M:%S.%f")[:-3]
+        line = f"{clock}  {event['process']:<12} {event['kind']:<22}"
+        line += f" {event['subject']}"
+        print(f"{line}  {event['detail']}".rstrip())
+
+
+def run_command(options: Hickorywing) -> ExitCode:
+    """Run one command and return its exit code."""
+    command = options.command
+    if isinstance(command, HashToken):
+        print(hash_token(command.token))
+        return ExitCode.DONE
+    if isinstance(command, Check):
+        findings = check_files(command.files)
+        if findings:
+            raise FindingsError(findings)
+        print(f"{len(command.files)} files checked, no findings")
+        return ExitCode.DONE
+    return asyncio.run(run_online(options))
+
+
+def main() -> None:
+    """Run the program."""
+    options = cappa.parse(Hickorywing)
+    try:
+        code = run_command(options)
+    except NotReachable as error:
+        print(f"hickorywing: {error}", file=sys.stderr)
+        code = ExitCode.NOT_REACHABLE
+    except UserError as error:
+        print(error, file=sys.stderr)
+        code = ExitCode.WRONG_INPUT
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = ExitCode.DONE
+    sys.exit(code)
--- /dev/null
+++ b/hickorywing/web.py
@@ -0,0 +1,155 @@
+"""Serve HTTP on one address, with problem documents for refusals."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+import contextlib
+import socket
+from typing import Any
+
+from blacksheep import Application
+from blacksheep import Content
+from blacksheep import Request
+from blacksheep import Response
+import msgspec
+import uvicorn
+
+__all__ = [
+    "Problem",
+    "WebServer",
+    "add_route",
+    "answer_json",
+    "answer_problem",
+    "find_header",
+    "split_address",
+]
+
+Handler = Callable[..., Awaitable[Response]]
+
+BACKLOG = 512
+MAX_CONCURRENT = 2048
+SHUTDOWN_S = 60
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An RFC 9457 problem document.
+
+    ``run`` says what is known of the request: ``not run``, ``unknown`` or
+    ``done``. ``retry_after_s`` is sent as ``Retry-After`` too.
+    """
+
+    title: str
+    status: int
+    detail: str = ""
+    run: str = "not run"
+    retry_after_s: float | None = None
+    findings: list[str] = []
+    version: int | None = None
+    type: str = "about:blank"
+
+
+def answer_json(status: int, data: Any) -> Response:
+    """Return an answer with a JSON body."""
+    body = msgspec.json.encode(data)
+    return Response(status, None, Content(b"application/json", body))
+
+
+def answer_problem(problem: Problem) -> Response:
+    """Return a refusal as a problem document."""
+    body = msgspec.json.encode(problem)
+    response = Response(
+        problem.status, None, Content(b"application/problem+json", body)
+    )
+    if problem.retry_after_s is not None:
+        seconds = max(1, round(problem.retry_after_s + 0.49))
+        response.add_header(b"Retry-After", str(seconds).encode())
+    return response
+
+
+def find_header(headers: Any, name: bytes) -> str | None:
+    """Return the first header of a name as text."""
+    value = headers.get_first(name)
+    return None if value is None else value.decode("latin-1")
+
+
+def add_route(
+    app: Application, method: str, pattern: str, handler: Handler
+) -> None:
+    """Add a bound method as a handler; it gets the pattern's values."""
+
+    async def handle(request: Request) -> Response:
+        return await handler(request, **(request.route_values or {}))
+
+    app.router.add(method, pattern, handle)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and port of ``1.2.3.4:80``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves the signals to the program."""
+
+    def install_signal_handlers(self) -> None:
+        """Install nothing."""
+
+    def capture_signals(self):  # noqa: ANN201
+        """Capture nothing."""
+        return contextlib.nullcontext()
+
+
+class WebServer:
+    """One HTTP listener around an application."""
+
+    def __init__(self, app: Application, listen: str) -> None:
+        self.app = app
+        host, port = split_address(listen)
+        # The protocol must be named, or asyncio leaves Nagle's algorithm on.
+        self._socket = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+        )
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((host, port))
+        self._socket.listen(BACKLOG)
+        self.port = self._socket.getsockname()[1]
+        self.address = f"{host}:{self.port}"
+        config = uvicorn.Config(
+            app,
+            log_config=None,
+            access_log=False,
+            lifespan="on",
+            http="httptools",
+            loop="asyncio",
+            ws="none",
+            limit_concurrency=MAX_CONCURRENT,
+            timeout_graceful_shutdown=SHUTDOWN_S,
+            h11_max_incomplete_event_size=65536,
+            server_header=False,
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Serve; return once requests are taken."""
+        self._task = asyncio.create_task(
+            self._server.serve(sockets=[self._socket])
+        )
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+                raise RuntimeError("the listener ended at once")
+            await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """Take no new connection, finish every request in progress."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+
+def to_mapping(data: object) -> Mapping[str, Any]:
+    """Return decoded JSON as a mapping, empty when it is something else."""
+    return data if isinstance(data, dict) else {}
--- /dev/null
+++ b/hickorywing/workers.py
@@ -0,0 +1,124 @@
+"""The platform's worker, as the agent beside it sees it."""
+
+from abc import ABC
+from abc import abstractmethod
+import enum
+
+from blacksheep import Content
+from blacksheep.client import ClientSession
+import msgspec
+
+__all__ = [
+    "HttpWorker",
+    "TaskLaunch",
+    "TaskNames",
+    "TaskState",
+    "TaskStatus",
+    "TaskStatuses",
+    "Worker",
+]
+
+WORKER_LEASE_S = 10.0
+WORKER_TIMEOUT_S = 3.0
+
+
+class TaskState(enum.StrEnum):
+    """The state of a task on its worker."""
+
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+
+
+class TaskLaunch(msgspec.Struct, frozen=True):
+    """A task to start; run times are in seconds."""
+
+    task_id: str
+    job_id: str
+    attempt: int
+    index: int
+    run_s: float
+    kept_s: float
+    lease_s: float = WORKER_LEASE_S
+
+
+class TaskNames(msgspec.Struct, frozen=True):
+    """Tasks to renew, stop or forget."""
+
+    task_ids: list[str]
+    lease_s: float = WORKER_LEASE_S
+    checkpoint: bool = False
+
+
+class TaskStatus(msgspec.Struct, frozen=True):
+    """One task's state and the seconds of work that are kept."""
+
+    task_id: str
+    state: TaskState
+    kept_s: float = 0.0
+
+
+class TaskStatuses(msgspec.Struct, frozen=True):
+    """All tasks that a worker knows."""
+
+    tasks: list[TaskStatus]
+
+
+class Worker(ABC):
+    """Runs tasks under leases."""
+
+    @abstractmethod
+    async def start(self, launch: TaskLaunch) -> None:
+        """Start a task; repeats are harmless."""
+
+    @abstractmethod
+    async def renew(self, names: TaskNames) -> TaskStatuses:
+        """Renew leases and return all states."""
+
+    @abstractmethod
+    async def stop(self, names: TaskNames) -> TaskStatuses:
+        """Stop tasks and return all states."""
+
+    @abstractmethod
+    async def forget(self, names: TaskNames) -> None:
+        """Drop ended tasks."""
+
+
+class HttpWorker(Worker):
+    """A worker over HTTP."""
+
+    def __init__(self, url: str) -> None:
+        self._session = ClientSession(
+            base_url=url,
+            http2=False,
+            max_connection_retries=0,
+            connection_timeout=WORKER_TIMEOUT_S,
+            request_timeout=WORKER_TIMEOUT_S,
+        )
+
+    async def _post(self, path: str, message: msgspec.Struct) -> bytes:
+        content = Content(b"application/json", msgspec.json.encode(message))
+        response = await self._session.post(path, content=content)
+        body = await response.read() or b""
+        if response.status >= 300:
+            raise ConnectionError(f"the worker answered {response.status}")
+        return body
+
+    async def start(self, launch: TaskLaunch) -> None:
+        """Start a task."""
+        await self._post("/tasks/start", launch)
+
+    async def renew(self, names: TaskNames) -> TaskStatuses:
+        """Renew leases and return all states."""
+        body = await self._post("/tasks/renew", names)
+        return msgspec.json.decode(body, type=TaskStatuses)
+
+    async def stop(self, names: TaskNames) -> TaskStatuses:
+        """Stop tasks and return all states."""
+        body = await self._post("/tasks/stop", names)
+        return msgspec.json.decode(body, type=TaskStatuses)
+
+    async def forget(self, names: TaskNames) -> None:
+        """Drop ended tasks."""
+        await self._post("/tasks/forget", names)
--- /dev/null
+++ b/hickorywing/zonecontroller.py
@@ -0,0 +1,891 @@
+"""Run one availability zone: place jobs, start gangs, renew their leases.
+
+The controller is a role that any agent can hold. All its state is rebuilt
+from the table's rows and the agents' heartbeats when it takes over. Decisions
+come from ``policy.ZoneScheduler`` and ``policy.GangStart``; this module only
+carries events in and actions out.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+import random
+import time
+
+from hickorywing.configuration import ConfigurationStore
+from hickorywing.configuration import Documents
+from hickorywing.errors import InvariantViolation
+from hickorywing.findings import FindingsError
+from hickorywing.jobs import home_key
+from hickorywing.jobs import inbox_prefix
+from hickorywing.jobs import job_key
+from hickorywing.jobs import JobRow
+from hickorywing.jobs import JobStatus
+from hickorywing.jobs import place_tasks
+from hickorywing.jobs import zone_key
+from hickorywing.jobwriter import JobWriter
+from hickorywing.leadership import Leadership
+from hickorywing.mailbox import Mailbox
+from hickorywing.messages import AgentInfo
+from hickorywing.messages import ControllerHello
+from hickorywing.messages import Envelope
+from hickorywing.messages import Head
+from hickorywing.messages import Heartbeat
+from hickorywing.messages import HeartbeatAck
+from hickorywing.messages import JobChanged
+from hickorywing.messages import KnownControllers
+from hickorywing.messages import MemberAnswer
+from hickorywing.messages import MemberCommand
+from hickorywing.messages import MemberEnded
+from hickorywing.messages import MemberReport
+from hickorywing.messages import PresentAgents
+from hickorywing.messages import TaskOrder
+from hickorywing.metrics import Metrics
+from hickorywing.policy.actions import Action
+from hickorywing.policy.actions import EvictJob
+from hickorywing.policy.actions import FailJob
+from hickorywing.policy.actions import Outcome
+from hickorywing.policy.actions import StartJob
+from hickorywing.policy.gang import GangAction
+from hickorywing.policy.gang import GangActionKind
+from hickorywing.policy.gang import GangPhase
+from hickorywing.policy.gang import GangStart
+from hickorywing.policy.homes import choose_home
+from hickorywing.policy.homes import ZoneDigest
+from hickorywing.policy.membership import Membership
+from hickorywing.policy.membership import Presence
+from hickorywing.policy.permit import MemberState
+from hickorywing.policy.register import ConfigurationRegister
+from hickorywing.policy.scheduler import JobState
+from hickorywing.policy.scheduler import JobView
+from hickorywing.policy.scheduler import ZoneScheduler
+from hickorywing.rules import allot_guarantees
+from hickorywing.table import Check
+from hickorywing.table import Table
+from hickorywing.table import TableUnavailable
+from hickorywing.timeline import Timeline
+
+__all__ = ["ZoneController"]
+
+TICK_S = 0.1
+HELLO_EVERY_S = 1.0
+INBOX_EVERY_S = 2.0
+SPILL_EVERY_S = 2.0
+SPILL_AFTER_S = 6.0
+MOVES_PER_STEP = 4
+CONTROLLER_SILENT_S = 4.0
+START_PATIENCE_S = 20.0
+PLACE_PATIENCE_S = 6.0
+END_RETRY_S = 1.0
+
+
+class ZoneController:
+    """The controller role of one zone inside one process."""
+
+    def __init__(
+        self,
+        zone: str,
+        name: str,
+        table: Table,
+        mailbox: Mailbox,
+        entries: tuple[str, ...],
+        register: ConfigurationRegister,
+        timeline: Timeline,
+        metrics: Metrics,
+        random_source: random.Random,
+    ) -> None:
+        self.zone = zone
+        self.name = name
+        self.table = table
+        self.mailbox = mailbox
+        self.entries = entries
+        self.register = register
+        self.timeline = timeline
+        self.metrics = metrics
+        self.leadership = Leadership(
+            zone, name, table, metrics, self._is_silent, random_source
+        )
+        self.store = ConfigurationStore(table)
+        self.zones: dict[str, ControllerHello] = {}
+        self._heard_controller_at = float("-inf")
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._reset()
+
+    def _reset(self) -> None:
+        self.scheduler = ZoneScheduler()
+        self.membership = Membership()
+        self.agents: dict[str, AgentInfo] = {}
+        self.gangs: dict[str, GangStart] = {}
+        self.documents = Documents.empty()
+        self.documents_of = (-1, -1)
+        self.ready = False
+        self.writer = JobWriter(
+            self.table, self.leadership.epoch_check, self.metrics
+        )
+        self._hello_at = 0.0
+        self._inbox_at = 0.0
+        self._spill_at = 0.0
+        self._starting: set[str] = set()
+
+    # Role
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _is_silent(self) -> bool:
+        return self._now() - self._heard_controller_at > CONTROLLER_SILENT_S
+
+    @property
+    def active(self) -> bool:
+        """Tell whether this process runs the zone."""
+        return self.leadership.in_role and self.ready
+
+    async def run(self) -> None:
+        """Compete for the role and do its work until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.leadership.run(self._gained, self._lost))
+            group.create_task(self._tick_forever())
+
+    def _gained(self) -> None:
+        epoch = self.leadership.holder.epoch
+        self.timeline.record("controller gained", self.zone, f"epoch {epoch}")
+        self._reset()
+        self._spawn(self._take_over(epoch))
+
+    def _lost(self) -> None:
+        self.timeline.record("controller lost", self.zone)
+        self._reset()
+
+    async def stop(self) -> None:
+        """Give the role up at once."""
+        await self.leadership.give_up()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_ended)
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.metrics.count("controller_task_errors")
+            self.timeline.record(
+                "controller error", self.zone, repr(task.exception())
+            )
+
+    async def _take_over(self, epoch: int) -> None:
+        """Rebuild the zone's state from the table."""
+        while self.leadership.in_role and not self.ready:
+            if self.leadership.holder.epoch != epoch:
+                return
+            try:
+                await self._load_documents()
+                rows = await self._load_jobs()
+            except (TableUnavailable, FindingsError):
+                await asyncio.sleep(END_RETRY_S)
+                continue
+            for row, version in rows:
+                self._adopt(row, version)
+            self.ready = True
+            self.timeline.record(
+                "controller ready", self.zone, f"{len(rows)} jobs"
+            )
+            self._say_hello(wants_agents=True)
+
+    async def _load_jobs(self) -> list[tuple[JobRow, int]]:
+        homes = await self.table.scan(home_key(self.zone, ""))
+        ids = [row.key.rsplit("/", 1)[1] for row in homes]
+        found = []
+        for start in range(0, len(ids), 200):
+            keys = [job_key(item) for item in ids[start : start + 200]]
+            for row in await self.table.read_many(keys):
+                if row.value is not None:
+                    found.append((JobRow.from_value(row.value), row.version))
+        return found
+
+    async def _load_documents(self) -> None:
+        head = (await self.store.read_head()).head
+        self.register.adopt(head, float("-inf"))
+        head = self.register.head
+        versions = (head.inventory_version, head.rules_version)
+        if versions == self.documents_of:
+            return
+        documents = await self.store.read_documents(head)
+        self._apply_documents(documents)
+        self.documents_of = versions
+
+    def _apply_documents(self, documents: Documents) -> None:
+        self.documents = documents
+        wanted = {
+            spec.worker_id: spec
+            for spec in documents.inventory.specs(self.zone)
+        }
+        known = self.scheduler.cells.workers
+        for worker_id in sorted(set(known) - set(wanted)):
+            self._lose_worker(worker_id, "no longer in the inventory")
+        for worker_id in sorted(set(wanted) - set(known)):
+            self.scheduler.add_worker(wanted[worker_id])
+            if not self._is_worker_present(worker_id):
+                self.scheduler.lose_worker(worker_id)
+        allotted = allot_guarantees(documents.rules, documents.inventory)
+        guarantees = [
+            item for item in allotted.value_or([]) if item.zone == self.zone
+        ]
+        self.scheduler.set_rules(
+            documents.rules.policy_customers(), guarantees
+        )
+
+    def _is_worker_present(self, worker_id: str) -> bool:
+        info = self.agents.get(worker_id)
+        return info is not None and self.membership.takes_work(info.name)
+
+    def _adopt(self, row: JobRow, version: int) -> None:
+        """Take a job of a former controller over."""
+        if row.status.is_terminal or row.home != self.zone:
+            return
+        self.writer.remember(row, version)
+        now = self._now()
+        submitted = now - max(0.0, time.time() - row.submitted_at)
+        spec = row.to_spec()
+        if row.status is JobStatus.QUEUED:
+            self.scheduler.submit(spec, submitted, row.kept_s)
+        else:
+            self._adopt_placed(row, submitted, now)
+        job = self.scheduler.jobs[row.job_id]
+        job.attempt = row.attempt
+        job.failures = row.failures
+        if row.cancel_requested:
+            self._perform(self.scheduler.cancel(row.job_id, now))
+            self._finish_cancelled_in_queue(row.job_id)
+
+    def _adopt_placed(self, row: JobRow, submitted: float, now: float) -> None:
+        started = row.status is JobStatus.STARTED
+        placement = row.to_placement()
+        self.scheduler.adopt(
+            row.to_spec(),
+            placement,
+            row.attempt,
+            submitted,
+            now if started else None,
+        )
+        self.scheduler.jobs[row.job_id].attained_s = row.kept_s
+        make = GangStart.adopt if started else GangStart
+        self.gangs[row.job_id] = make(
+            row.job_id, row.attempt, placement.workers, now
+        )
+
+    # Messages
+
+    def handle(self, envelope: Envelope) -> bool:
+        """Take in a message; tell whether it was one for a controller."""
+        body = envelope.body
+        if isinstance(body, ControllerHello):
+            self._hear_controller(body)
+            return True
+        if isinstance(body, KnownControllers):
+            for hello in body.hellos:
+                self._hear_controller(hello)
+            return True
+        if not self.active:
+            return False
+        if isinstance(body, Heartbeat):
+            self._hear_agent(body, envelope.reply_to)
+        elif isinstance(body, MemberAnswer):
+            self._hear_answer(body)
+        elif isinstance(body, MemberEnded):
+            self._hear_report(body.worker_id, body.report)
+        elif isinstance(body, JobChanged):
+            self._spawn(self._read_inbox())
+        elif isinstance(body, PresentAgents):
+            for info in body.agents:
+                self._say_hello_to(info.control)
+        else:
+            return False
+        return True
+
+    def _hear_controller(self, hello: ControllerHello) -> None:
+        known = self.zones.get(hello.zone)
+        if known is None or hello.epoch >= known.epoch:
+            self.zones[hello.zone] = hello
+        if hello.zone != self.zone or hello.name == self.name:
+            return
+        if hello.epoch >= self.leadership.holder.epoch:
+            self._heard_controller_at = self._now()
+
+    def _hear_agent(self, beat: Heartbeat, reply_to: str) -> None:
+        info = beat.info
+        if info.zone != self.zone:
+            return
+        now = self._now()
+        known = self.agents.get(info.worker_id)
+        if known is not None and info.incarnation < known.incarnation:
+            return
+        changed = self.membership.heard(
+            info.name, info.zone, info.incarnation, beat.leaving, now
+        )
+        if info.worker_id:
+            self._note_worker(beat, known, changed is not None)
+        for report in beat.members:
+            self._hear_report(info.worker_id, report)
+        self.mailbox.send(reply_to, self._answer_beat(beat))
+
+    def _note_worker(
+        self, beat: Heartbeat, known: AgentInfo | None, changed: bool
+    ) -> None:
+        info = beat.info
+        self.agents[info.worker_id] = info
+        if known is not None and known.incarnation != info.incarnation:
+            # The new incarnation stopped its worker's tasks when it began.
+            self._lose_worker(info.worker_id, "agent restarted")
+        if info.worker_id not in self.scheduler.cells.workers:
+            return
+        if not changed and known is not None:
+            return
+        if beat.leaving:
+            self.timeline.record("worker leaving", info.worker_id)
+            self.scheduler.withhold_worker(info.worker_id)
+            self._move_off_worker(info.worker_id)
+        else:
+            self.timeline.record("worker present", info.worker_id)
+            self.scheduler.restore_worker(info.worker_id)
+
+    def _move_off_worker(self, worker_id: str) -> None:
+        now = self._now()
+        for gang in self.gangs.values():
+            if worker_id in gang.workers:
+                gang.stop("worker leaving", True, now)
+
+    def _answer_beat(self, beat: Heartbeat) -> HeartbeatAck:
+        now = self._now()
+        renewed = []
+        noted = []
+        for report in beat.members:
+            gang = self.gangs.get(report.job_id)
+            live = report.state in (MemberState.PREPARED, MemberState.RUNNING)
+            if not live:
+                noted.append(report)
+            elif self._renews(gang, report):
+                renewed.append(report)
+            elif gang is None and self.ready:
+                self._order_stop(beat.info, report)
+        age = self.register.confirmed_ago(now)
+        return HeartbeatAck(
+            beat.sent_at,
+            Head.from_policy(self.register.head),
+            None if age == float("inf") else age,
+            self.leadership.holder.epoch,
+            renewed,
+            noted,
+        )
+
+    @staticmethod
+    def _renews(gang: GangStart | None, report: MemberReport) -> bool:
+        if gang is None or gang.attempt != report.attempt:
+            return False
+        return gang.phase not in (GangPhase.STOPPING, GangPhase.ENDED)
+
+    def _order_stop(self, info: AgentInfo, report: MemberReport) -> None:
+        """Stop a member that belongs to no attempt of this zone."""
+        self.mailbox.send(
+            info.control,
+            MemberCommand(
+                "stop",
+                report.job_id,
+                report.attempt,
+                self.leadership.holder.epoch,
+                info.incarnation,
+            ),
+        )
+
+    def _hear_answer(self, answer: MemberAnswer) -> None:
+        gang = self.gangs.get(answer.job_id)
+        if gang is None or gang.attempt != answer.attempt:
+            self.metrics.count("late_member_answers")
+            return
+        now = self._now()
+        worker = answer.worker_id
+        if answer.kind == "stop":
+            return
+        if not answer.accepted:
+            gang.refused(worker, answer.reason, now)
+        elif answer.kind == "prepare":
+            self._perform_gang(gang, gang.prepared(worker, now))
+        elif answer.kind == "start":
+            self._perform_gang(gang, gang.started(worker, now))
+
+    def _hear_report(self, worker_id: str, report: MemberReport) -> None:
+        gang = self.gangs.get(report.job_id)
+        if gang is None or gang.attempt != report.attempt:
+            return
+        now = self._now()
+        if report.state == MemberState.DONE:
+            self._perform_gang(gang, gang.member_done(worker_id, now))
+        elif report.state == MemberState.FAILED:
+            gang.member_failed(worker_id, now)
+        elif report.state == MemberState.STOPPED:
+            gang.member_stopped(worker_id, report.kept_s, now)
+
+    # Work of every tick
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            if not self.active:
+                continue
+            try:
+                self._tick(self._now())
+            except InvariantViolation as error:
+                self.metrics.count("invariant_violations")
+                self.timeline.record(
+                    "invariant violated", self.zone, str(error)
+                )
+                await self.leadership.give_up()
+                self._lost()
+
+    def _tick(self, now: float) -> None:
+        self._expire_agents(now)
+        self._follow_configuration()
+        for gang in list(self.gangs.values()):
+            self._perform_gang(gang, gang.poll(now))
+        if self.leadership.holds() and self.table_serves():
+            self._perform(self.scheduler.decide(now))
+            self._spill(now)
+        if now >= self._hello_at:
+            self._hello_at = now + HELLO_EVERY_S
+            self._say_hello(wants_agents=not self.agents)
+        if now >= self._inbox_at:
+            self._inbox_at = now + INBOX_EVERY_S
+            self._spawn(self._read_inbox())
+        self._set_gauges()
+
+    def table_serves(self) -> bool:
+        """Tell whether commits have been answered of late."""
+        return self.writer.serves()
+
+    def _set_gauges(self) -> None:
+        counts = self.scheduler.cells.counts
+        self.metrics.set("accelerators_idle", counts.idle[0])
+        self.metrics.set("jobs_queued", len(self.scheduler.queue))
+        self.metrics.set("gangs", len(self.gangs))
+        risk = sum(
+            item.accelerators * item.count for item in self.scheduler.risks()
+        )
+        self.metrics.set("guaranteed_accelerators_at_risk", risk)
+
+    def _expire_agents(self, now: float) -> None:
+        by_name = {info.name: info for info in self.agents.values()}
+        for member in self.membership.expire(now):
+            info = by_name.get(member.name)
+            if info is None or not info.worker_id:
+                continue
+            worker_id = info.worker_id
+            if worker_id not in self.scheduler.cells.workers:
+                continue
+            if member.presence is Presence.LOST:
+                self._lose_worker(worker_id, "silent")
+            else:
+                self.timeline.record("worker suspect", worker_id)
+                self.scheduler.withhold_worker(worker_id)
+
+    def _lose_worker(self, worker_id: str, reason: str) -> None:
+        if worker_id not in self.scheduler.cells.workers:
+            return
+        self.timeline.record("worker lost", worker_id, reason)
+        self.metrics.count("workers_lost")
+        self.scheduler.lose_worker(worker_id)
+        now = self._now()
+        for gang in self.gangs.values():
+            gang.worker_lost(worker_id, now)
+
+    def _follow_configuration(self) -> None:
+        head = self.register.head
+        is_in = self.zone not in head.zones_out
+        if is_in and not self.scheduler.zone_in:
+            self.timeline.record("zone in", self.zone)
+            self.scheduler.bring_back()
+        elif not is_in and self.scheduler.zone_in:
+            self.timeline.record("zone out", self.zone)
+            self._perform(self.scheduler.take_out())
+        versions = (head.inventory_version, head.rules_version)
+        if versions != self.documents_of and "documents" not in self._starting:
+            self._starting.add("documents")
+            self._spawn(self._reload_documents())
+
+    async def _reload_documents(self) -> None:
+        try:
+            await self._load_documents()
+        except (TableUnavailable, FindingsError):
+            await asyncio.sleep(END_RETRY_S)
+        finally:
+            self._starting.discard("documents")
+
+    def _hello(self, wants_agents: bool = False) -> ControllerHello:
+        counts = self.scheduler.cells.counts
+        largest = 0
+        for index, count in enumerate(counts.idle):
+            if count:
+                largest = 1 << index
+        return ControllerHello(
+            self.zone,
+            self.leadership.holder.epoch,
+            self.name,
+            self.mailbox.address,
+            counts.idle[0],
+            len(self.scheduler.queue),
+            largest,
+            wants_agents,
+        )
+
+    def _say_hello(self, wants_agents: bool = False) -> None:
+        hello = self._hello(wants_agents)
+        self.zones[self.zone] = hello
+        for address in (*self.entries, self.mailbox.address):
+            self.mailbox.send(address, hello)
+        for info in self.agents.values():
+            self.mailbox.send(info.control, hello)
+
+    def _say_hello_to(self, control: str) -> None:
+        if control != self.mailbox.address:
+            self.mailbox.send(control, self._hello())
+
+    # Actions
+
+    def _perform(self, actions: list[Action]) -> None:
+        now = self._now()
+        for action in actions:
+            if isinstance(action, StartJob):
+                self._spawn(self._place(action))
+            elif isinstance(action, EvictJob):
+                gang = self.gangs.get(action.job_id)
+                if gang is not None:
+                    gang.stop(action.reason, action.checkpoint, now)
+                self.timeline.record(
+                    "job evicted", action.job_id, action.reason
+                )
+            elif isinstance(action, FailJob):
+                self._spawn(
+                    self._end_job(
+                        action.job_id, JobStatus.FAILED, action.reason
+                    )
+                )
+
+    async def _place(self, action: StartJob) -> None:
+        """Commit a placement, then begin to prepare its members."""
+        job_id = action.job_id
+        writer = self.writer
+
+        def place(row: JobRow) -> JobRow | None:
+            if row.status.is_terminal or row.cancel_requested:
+                return None
+            return row.change(
+                status=JobStatus.PLACED,
+                attempt=action.attempt,
+                placement=place_tasks(action.placement),
+                guaranteed=action.placement.guaranteed,
+            )
+
+        row = await writer.update(job_id, place, [], PLACE_PATIENCE_S)
+        if writer is not self.writer:
+            return
+        now = self._now()
+        job = self.scheduler.jobs.get(job_id)
+        if job is None or job.attempt != action.attempt:
+            return
+        evicted = job.state is JobState.STOPPING
+        if row is None or evicted:
+            self._perform(
+                self.scheduler.job_ended(
+                    job_id, action.attempt, Outcome.ABORTED, now
+                )
+            )
+            await self._settle_unplaced(job_id)
+            return
+        self.timeline.record(
+            "job placed", job_id, ",".join(action.placement.workers)
+        )
+        gang = GangStart(job_id, action.attempt, action.placement.workers, now)
+        self.gangs[job_id] = gang
+
+    async def _settle_unplaced(self, job_id: str) -> None:
+        """Bring a job whose placement was given up back to its row."""
+        row = self.writer.known(job_id)
+        if row is None or row.status.is_terminal:
+            self._perform(self.scheduler.cancel(job_id, self._now()))
+            self.writer.forget(job_id)
+        elif row.cancel_requested:
+            self._perform(self.scheduler.cancel(job_id, self._now()))
+            await self._end_job(job_id, JobStatus.CANCELLED, "cancelled")
+
+    def _perform_gang(self, gang: GangStart, todo: list[GangAction]) -> None:
+        for action in todo:
+            kind = action.kind
+            if kind is GangActionKind.COMMIT_STARTED:
+                self._spawn(self._commit_started(gang))
+            elif kind is GangActionKind.RUNNING:
+                self._note_running(gang)
+            elif kind is GangActionKind.ENDED:
+                self._note_ended(gang)
+            elif action.worker is not None:
+                self._command(gang, kind, action.worker)
+
+    def _command(
+        self, gang: GangStart, kind: GangActionKind, worker: str
+    ) -> None:
+        info = self.agents.get(worker)
+        job = self.scheduler.jobs.get(gang.job_id)
+        if info is None or job is None or job.placement is None:
+            return
+        tasks = [
+            TaskOrder(index, task.offset, task.size)
+            for index, task in enumerate(job.placement.tasks)
+            if task.worker_id == worker
+        ]
+        row = self.writer.known(gang.job_id)
+        run_s = job.spec.declared_run_s
+        if row is not None and row.run_s is not None:
+            run_s = row.run_s
+        self.mailbox.send(
+            info.control,
+            MemberCommand(
+                kind.value,
+                gang.job_id,
+                gang.attempt,
+                self.leadership.holder.epoch,
+                info.incarnation,
+                tasks,
+                run_s,
+                job.attained_s,
+                gang.checkpoint,
+            ),
+        )
+
+    async def _commit_started(self, gang: GangStart) -> None:
+        """Commit the start against the zone's row, then let it go on."""
+        writer = self.writer
+
+        def start(row: JobRow) -> JobRow | None:
+            if row.attempt != gang.attempt or row.cancel_requested:
+                return None
+            if row.status is not JobStatus.PLACED:
+                return None
+            return row.change(status=JobStatus.STARTED)
+
+        committed = False
+        try:
+            zone_row = await self.table.read(zone_key(self.zone))
+            value = zone_row.value or {"in": True}
+            if value["in"]:
+                check = Check(zone_row.key, zone_row.version)
+                row = await writer.update(
+                    gang.job_id, start, [check], START_PATIENCE_S
+                )
+                committed = row is not None
+        except TableUnavailable:
+            self.metrics.count("starts_without_table")
+        if writer is self.writer:
+            gang.commit_answered(committed, self._now())
+
+    def _note_running(self, gang: GangStart) -> None:
+        self.timeline.record(
+            "job running", gang.job_id, f"attempt {gang.attempt}"
+        )
+        self.metrics.count("gangs_started")
+        self.scheduler.job_running(gang.job_id, gang.attempt, self._now())
+
+    def _note_ended(self, gang: GangStart) -> None:
+        """Tell the scheduler and the table how an attempt ended."""
+        job_id = gang.job_id
+        self.gangs.pop(job_id, None)
+        job = self.scheduler.jobs.get(job_id)
+        if job is None:
+            return
+        cancelled = job.cancelled
+        outcome = self._outcome_of(gang)
+        self.timeline.record(
+            "attempt ended", job_id, f"{outcome} {gang.failure or ''}".strip()
+        )
+        actions = self.scheduler.job_ended(
+            job_id,
+            gang.attempt,
+            outcome,
+            self._now(),
+            gang.kept_s,
+            gang.failed_worker,
+        )
+        self._perform(actions)
+        if outcome is Outcome.DONE:
+            self._spawn(self._end_job(job_id, JobStatus.DONE, ""))
+        elif cancelled:
+            self._spawn(
+                self._end_job(job_id, JobStatus.CANCELLED, "cancelled")
+            )
+        elif job_id in self.scheduler.jobs:
+            self._spawn(self._requeue(job_id, gang))
+
+    @staticmethod
+    def _outcome_of(gang: GangStart) -> Outcome:
+        if gang.failure is None:
+            return Outcome.DONE
+        if gang.failed_worker is not None:
+            return Outcome.FAILED
+        if not gang.ever_started:
+            return Outcome.ABORTED
+        return Outcome.LOST if gang.lost else Outcome.STOPPED
+
+    async def _requeue(self, job_id: str, gang: GangStart) -> None:
+        job = self.scheduler.jobs.get(job_id)
+        if job is None:
+            return
+        kept = job.attained_s
+        failures = job.failures
+
+        def requeue(row: JobRow) -> JobRow | None:
+            if row.attempt != gang.attempt or row.status.is_terminal:
+                return None
+            return row.change(
+                status=JobStatus.QUEUED,
+                kept_s=kept,
+                failures=failures,
+                placement=[],
+            )
+
+        await self.writer.update(job_id, requeue, [], START_PATIENCE_S)
+
+    async def _end_job(
+        self, job_id: str, status: JobStatus, reason: str
+    ) -> None:
+        """Write the end of a job, however long the table takes."""
+        writer = self.writer
+
+        def end(row: JobRow) -> JobRow | None:
+            if row.status.is_terminal:
+                return None
+            return row.change(status=status, reason=reason, placement=[])
+
+        while writer is self.writer:
+            row = await writer.update(
+                job_id, end, [], START_PATIENCE_S, ends=True
+            )
+            if row is not None or writer.is_settled(job_id):
+                self.timeline.record(f"job {status}", job_id, reason)
+                self.metrics.count(f"jobs_{status}")
+                writer.forget(job_id)
+                return
+            await asyncio.sleep(END_RETRY_S)
+
+    # New, changed and moving jobs
+
+    async def _read_inbox(self) -> None:
+        if "inbox" in self._starting or not self.table_serves():
+            return
+        self._starting.add("inbox")
+        writer = self.writer
+        try:
+            changed = await self.table.scan(inbox_prefix(self.zone))
+            ids = [row.key.rsplit("/", 1)[1] for row in changed]
+            for start in range(0, len(ids), 100):
+                part = ids[start : start + 100]
+                rows = await self.table.read_many(
+                    [job_key(item) for item in part]
+                )
+                if writer is not self.writer:
+                    return
+                for row in rows:
+                    if row.value is not None:
+                        self._see_row(
+                            JobRow.from_value(row.value), row.version
+                        )
+                await writer.clear_inbox(changed[start : start + 100])
+        except TableUnavailable:
+            self.metrics.count("inbox_reads_failed")
+        finally:
+            self._starting.discard("inbox")
+
+    def _see_row(self, row: JobRow, version: int) -> None:
+        if row.home != self.zone or row.status.is_terminal:
+            return
+        self.writer.remember(row, version)
+        now = self._now()
+        if row.job_id not in self.scheduler.jobs:
+            if row.status is not JobStatus.QUEUED:
+                return
+            submitted = now - max(0.0, time.time() - row.submitted_at)
+            self.scheduler.submit(row.to_spec(), submitted, row.kept_s)
+            job = self.scheduler.jobs[row.job_id]
+            job.attempt = row.attempt
+            self.timeline.record("job queued", row.job_id, row.customer)
+        if row.cancel_requested:
+            self._perform(self.scheduler.cancel(row.job_id, now))
+            self._finish_cancelled_in_queue(row.job_id)
+
+    def _finish_cancelled_in_queue(self, job_id: str) -> None:
+        if job_id not in self.scheduler.jobs:
+            self._spawn(
+                self._end_job(job_id, JobStatus.CANCELLED, "cancelled")
+            )
+
+    def _spill(self, now: float) -> None:
+        """Hand waiting jobs to zones that can take them."""
+        if now < self._spill_at:
+            return
+        self._spill_at = now + SPILL_EVERY_S
+        is_in = self.scheduler.zone_in
+        moved = 0
+        for job in self.scheduler.queued_jobs():
+            waited = now - job.waiting_since
+            if moved >= MOVES_PER_STEP * (1 if is_in else 10):
+                return
+            if is_in and waited < SPILL_AFTER_S:
+                continue
+            home = choose_home(job.spec, self._digests(), self.zone)
+            if home is None or home == self.zone:
+                continue
+            if is_in and self.zones[home].queued > 0:
+                continue
+            moved += 1
+            self.scheduler.withdraw(job.spec.job_id)
+            self._spawn(self._move(job, home))
+
+    def _digests(self) -> list[ZoneDigest]:
+        out = self.register.head.zones_out
+        allotted = allot_guarantees(
+            self.documents.rules, self.documents.inventory
+        ).value_or([])
+        capacity: dict[str, int] = {}
+        for worker in self.documents.inventory.workers:
+            held = capacity.get(worker.zone, 0)
+            capacity[worker.zone] = held + worker.accelerators
+        return [
+            ZoneDigest(
+                zone,
+                zone not in out,
+                hello.free,
+                hello.queued,
+                hello.largest_idle,
+                capacity.get(zone, 1),
+                frozenset(
+                    item.customer for item in allotted if item.zone == zone
+                ),
+            )
+            for zone, hello in self.zones.items()
+        ]
+
+    async def _move(self, job: JobView, home: str) -> None:
+        writer = self.writer
+        job_id = job.spec.job_id
+        row = await writer.move(
+            job_id, home, job.attained_s, job.failures, START_PATIENCE_S
+        )
+        if writer is not self.writer:
+            return
+        if row is None:
+            known = writer.known(job_id)
+            if known is not None:
+                self._see_row(known, writer.version(job_id))
+            return
+        self.timeline.record("job moved", job_id, home)
+        writer.forget(job_id)
+        hello = self.zones.get(home)
+        if hello is not None:
+            self.mailbox.send(hello.control, JobChanged(job_id))
--- /dev/null
+++ b/tools/launcher.py
@@ -0,0 +1,307 @@
+"""Start a small system of real processes on loopback, for demo and tests.
+
+The launcher is no part of the system: it plays the platform's role of starting
+one process for each slot.
+"""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from dataclasses import field
+import json
+import os
+from pathlib import Path
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+from hickorywing.client import Answer
+from hickorywing.client import Client
+from hickorywing.client import NotReachable
+
+__all__ = ["Launcher", "Plan", "find_free_ports", "wait_until"]
+
+READY_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 90.0
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+async def wait_until(check: Any, timeout_s: float, what: str) -> Any:
+    """Wait until an async check returns something true."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        found = await check()
+        if found:
+            return found
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"waited {timeout_s:g} s for {what}")
+        await asyncio.sleep(0.05)
+
+
+@dataclass
+class Plan:
+    """Which processes to start."""
+
+    zones: list[str]
+    entries: int = 2
+    runners: list[str] = field(default_factory=list)
+    workers: list[tuple[str, str]] = field(default_factory=list)
+    service: str = "jobs"
+    service_s: float = 0.01
+    operator_sha256: str = ""
+
+
+@dataclass
+class Process:
+    """One started process."""
+
+    name: str
+    program: str
+    settings: Path
+    popen: subprocess.Popen[bytes] | None = None
+
+
+class Launcher:
+    """Starts, watches and stops the processes of one plan."""
+
+    def __init__(self, folder: Path, plan: Plan) -> None:
+        self.folder = folder
+        self.plan = plan
+        self.processes: dict[str, Process] = {}
+        self.http: dict[str, str] = {}
+        self.control: dict[str, str] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def prepare(self) -> None:
+        """Write the settings of every process."""
+        plan = self.plan
+        count = 2 + 2 * plan.entries + 3 * len(plan.runners)
+        ports = iter(find_free_ports(count + 3 * len(plan.workers)))
+
+        def address() -> str:
+            return f"127.0.0.1:{next(ports)}"
+
+        for kind in ("table", "objects"):
+            self.http[kind] = address()
+            self._add_standin(kind, {"kind": kind, "listen": self.http[kind]})
+        controls = []
+        for number in range(plan.entries):
+            name = f"entry-{number + 1}"
+            self.http[name] = address()
+            self.control[name] = address()
+            controls.append(self.control[name])
+        for number in range(plan.entries):
+            self._add_entry(f"entry-{number + 1}", number, controls)
+        for number, zone in enumerate(plan.runners):
+            self._add_runner(f"runner-{number + 1}", zone, address, controls)
+        for worker_id, zone in plan.workers:
+            self._add_worker(worker_id, zone, address, controls)
+
+    def _table_url(self) -> str:
+        return f"http://{self.http['table']}"
+
+    def _add_standin(self, name: str, settings: dict[str, Any]) -> None:
+        path = self._write(f"standin-{name}", settings)
+        self.processes[name] = Process(name, "standins.program", path)
+
+    def _write(self, name: str, settings: dict[str, Any]) -> Path:
+        path = self.folder / f"{name}.jsonc"
+        path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
+        return path
+
+    def _add_entry(self, name: str, number: int, controls: list[str]) -> None:
+        zones = self.plan.zones
+        path = self._write(
+            name,
+            {
+                "name": name,
+                "zone": zones[number % len(zones)],
+                "listen": self.http[name],
+                "control": self.control[name],
+                "table": self._table_url(),
+                "entries": controls,
+                "bootstrap_operator_sha256": self.plan.operator_sha256,
+                "drain_notice_s": 0.5,
+            },
+        )
+        self.processes[name] = Process(name, "entry", path)
+
+    def _add_runner(
+        self, name: str, zone: str, address: Any, controls: list[str]
+    ) -> None:
+        agent = f"agent-{name}"
+        self.http[agent] = address()
+        self.control[agent] = address()
+        self.http[name] = address()
+        self._add_standin(
+            name,
+            {
+                "kind": "backend",
+                "name": name,
+                "listen": self.http[name],
+                "agent": f"http://{self.http[agent]}",
+                "service": self.plan.service,
+                "service_s": self.plan.service_s,
+            },
+        )
+        self._add_agent(agent, zone, controls, {"backend": {}})
+
+    def _add_worker(
+        self, worker_id: str, zone: str, address: Any, controls: list[str]
+    ) -> None:
+        agent = f"agent-{worker_id}"
+        self.http[agent] = address()
+        self.control[agent] = address()
+        self.http[worker_id] = address()
+        self._add_standin(
+            worker_id,
+            {
+                "kind": "worker",
+                "name": worker_id,
+                "listen": self.http[worker_id],
+            },
+        )
+        url = f"http://{self.http[worker_id]}"
+        self._add_agent(
+            agent, zone, controls, {"worker": {"id": worker_id, "url": url}}
+        )
+
+    def _add_agent(
+        self,
+        agent: str,
+        zone: str,
+        controls: list[str],
+        more: dict[str, Any],
+    ) -> None:
+        path = self._write(
+            agent,
+            {
+                "name": agent,
+                "zone": zone,
+                "listen": self.http[agent],
+                "control": self.control[agent],
+                "table": self._table_url(),
+                "entries": controls,
+                "drain_notice_s": 0.5,
+                **more,
+            },
+        )
+        self.processes[agent] = Process(agent, "agent", path)
+
+    # Processes
+
+    def start(self, name: str) -> None:
+        """Start one process."""
+        process = self.processes[name]
+        log = (self.folder / f"{name}.log").open("ab")
+        code = f"from hickorywing.{process.program} import main; main()"
+        process.popen = subprocess.Popen(
+            [sys.executable, "-c", code, str(process.settings)],
+            stdout=log,
+            stderr=log,
+            start_new_session=True,
+        )
+        log.close()
+
+    def start_all(self) -> None:
+        """Start every process."""
+        for name in self.processes:
+            self.start(name)
+
+    async def wait_serving(self, names: list[str] | None = None) -> None:
+        """Wait until entries and agents answer their health checks."""
+        for name in names or self.processes:
+            if name.startswith(("entry", "agent")):
+                await wait_until(
+                    lambda name=name: self._is_healthy(name),
+                    READY_TIMEOUT_S,
+                    f"{name} to serve",
+                )
+
+    async def _is_healthy(self, name: str) -> bool:
+        process = self.processes[name].popen
+        if process is not None and process.poll() is not None:
+            log = (self.folder / f"{name}.log").read_text("utf-8")
+            raise RuntimeError(f"{name} ended: {log[-2000:]}")
+        try:
+            answer = await self.call(name, "GET", "/healthz")
+        except NotReachable:
+            return False
+        return answer.status == 200
+
+    async def call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        token: str = "",
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send a request to a process by name."""
+        client = Client(f"http://{self.http[name]}", token)
+        data = b"" if body is None else json.dumps(body).encode()
+        try:
+            return await client.call(method, path, data, headers)
+        finally:
+            await client.close()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this launcher started."""
+        popen = self.processes[name].popen
+        if popen is not None and popen.poll() is None:
+            os.kill(popen.pid, number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once and reap it."""
+        self.signal(name, signal.SIGKILL)
+        popen = self.processes[name].popen
+        if popen is not None:
+            popen.wait()
+
+    async def stop(self, name: str) -> int:
+        """Ask a process to stop and return its exit code."""
+        self.signal(name, signal.SIGTERM)
+        popen = self.processes[name].popen
+        if popen is None:
+            return 0
+        return await asyncio.to_thread(popen.wait, STOP_TIMEOUT_S)
+
+    async def stop_all(self) -> dict[str, int]:
+        """Stop everything gracefully, callers' side first."""
+        codes: dict[str, int] = {}
+        waves = (
+            [name for name in self.processes if name.startswith("entry")],
+            [name for name in self.processes if name.startswith("agent")],
+            [
+                name
+                for name in self.processes
+                if not name.startswith(("entry", "agent"))
+            ],
+        )
+        for wave in waves:
+            results = await asyncio.gather(*(self.stop(name) for name in wave))
+            codes.update(zip(wave, results, strict=True))
+        return codes
+
+    def kill_all(self) -> None:
+        """Kill whatever is left of the started processes."""
+        for name, process in self.processes.items():
+            if process.popen is not None and process.popen.poll() is None:
+                with contextlib.suppress(ProcessLookupError):
+                    self.signal(name, signal.SIGCONT)
+                    self.kill(name)
