--- a/hickorywing/policy/cells.py
+++ b/hickorywing/policy/cells.py
@@ -94,6 +94,7 @@
         self.claim: list[object | None] = [None] * spec.accelerators
         self.roots = list(cut_roots(spec.accelerators))
         self.counts = Counts()
+        self.potential = [0] * len(SIZES)
         self.idle_maximal: tuple[int, ...] = ()
 
     def cells(self, size: int) -> Iterator[Cell]:
@@ -126,11 +127,12 @@
         """Return fresh counts for the present state."""
         counts = Counts()
         idle_maximal: list[int] = []
-        if not self.offered:
-            self.idle_maximal = ()
-            return counts
         for offset, size in self.roots:
             self._count_tree(counts, idle_maximal, offset, size, False, False)
+        self.potential = counts.maximal
+        if not self.offered:
+            self.idle_maximal = ()
+            return Counts()
         self.idle_maximal = tuple(sorted(set(idle_maximal)))
         return counts
 
@@ -191,6 +193,7 @@
         self.workers: dict[str, WorkerCells] = {}
         self.racks: dict[str, Rack] = {}
         self.counts = Counts()
+        self.potential = [0] * len(SIZES)
         self._by_maximal: list[dict[str, None]] = [{} for _ in SIZES]
 
     def add_worker(self, spec: WorkerSpec) -> None:
@@ -205,6 +208,8 @@
         """Remove a worker that no task holds any more."""
         worker = self.workers[worker_id]
         self.set_offered(worker_id, False)
+        for index, value in enumerate(worker.potential):
+            self.potential[index] -= value
         rack = self.racks[worker.spec.rack]
         del rack.workers[worker_id]
         if not rack.workers:
@@ -271,9 +276,12 @@
     def _refresh(self, worker: WorkerCells) -> None:
         rack = self.racks[worker.spec.rack]
         old = worker.counts
+        old_potential = worker.potential
         old_maximal = worker.idle_maximal
         new = worker.recount()
         worker.counts = new
+        for index, value in enumerate(worker.potential):
+            self.potential[index] += value - old_potential[index]
         for total in (rack.counts, self.counts):
             total.add(old, -1)
             total.add(new, 1)
--- a/hickorywing/policy/cores.py
+++ b/hickorywing/policy/cores.py
@@ -5,8 +5,11 @@
 accelerator. Placement is best fit over workers grouped by free whole cores.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
+from dataclasses import replace
 
+from hickorywing.policy.model import Adjacency
 from hickorywing.policy.model import WorkerSpec
 
 __all__ = ["ACCELERATOR_SHARE", "CorePool", "CoreRequest"]
@@ -27,6 +30,9 @@
     """What is free of a worker's open share."""
 
     worker_id: str
+    rack: str
+    all_cores: float
+    all_memory_gb: float
     cores: float
     memory_gb: float
     offered: bool = True
@@ -39,18 +45,16 @@
     def __init__(self) -> None:
         self.workers: dict[str, WorkerCores] = {}
         self._buckets: dict[int, dict[str, None]] = {}
-        self.max_cores = 0.0
-        self.max_memory_gb = 0.0
 
     def add_worker(self, spec: WorkerSpec) -> None:
         """Add the open share of a worker."""
         share = 1.0 - ACCELERATOR_SHARE if spec.accelerators else 1.0
+        cores = spec.cores * share
+        memory_gb = spec.memory_gb * share
         worker = WorkerCores(
-            spec.worker_id, spec.cores * share, spec.memory_gb * share
+            spec.worker_id, spec.rack, cores, memory_gb, cores, memory_gb
         )
         self.workers[spec.worker_id] = worker
-        self.max_cores = max(self.max_cores, worker.cores)
-        self.max_memory_gb = max(self.max_memory_gb, worker.memory_gb)
         self._file(worker)
 
     def remove_worker(self, worker_id: str) -> None:
@@ -62,23 +66,69 @@
         """Offer the worker to new tasks, or stop doing so."""
         self.workers[worker_id].offered = offered
 
-    def find(self, request: CoreRequest, tasks: int) -> list[str] | None:
+    def find(
+        self, request: CoreRequest, tasks: int, adjacency: Adjacency
+    ) -> list[str] | None:
         """Return one worker id per task, tightest fit first, or ``None``."""
-        chosen: list[str] = []
+        if adjacency is Adjacency.ZONE:
+            return self._take(self._tightest_first(request), request, tasks)
+        for group in self._groups(adjacency):
+            chosen = self._take(iter(group), request, tasks)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _tightest_first(self, request: CoreRequest) -> Iterator[WorkerCores]:
         for bucket in sorted(self._buckets):
             if bucket + 1 <= request.cores:
                 continue
             for worker_id in self._buckets[bucket]:
-                room = self._room(self.workers[worker_id], request)
-                chosen.extend([worker_id] * min(room, tasks - len(chosen)))
-                if len(chosen) == tasks:
-                    return chosen
+                yield self.workers[worker_id]
+
+    def _take(
+        self, workers: Iterator[WorkerCores], request: CoreRequest, tasks: int
+    ) -> list[str] | None:
+        chosen: list[str] = []
+        for worker in workers:
+            room = self._room(worker, request) if worker.offered else 0
+            take = min(room, tasks - len(chosen))
+            chosen.extend([worker.worker_id] * take)
+            if len(chosen) == tasks:
+                return chosen
         return None
 
+    def _groups(self, adjacency: Adjacency) -> list[list[WorkerCores]]:
+        """Return the workers that may share one gang, group by group."""
+        groups: dict[str, list[WorkerCores]] = {}
+        for worker in self.workers.values():
+            name = ""
+            if adjacency is Adjacency.RACK:
+                name = worker.rack
+            elif adjacency is Adjacency.WORKER:
+                name = worker.worker_id
+            groups.setdefault(name, []).append(worker)
+        return list(groups.values())
+
+    def most_tasks(self, request: CoreRequest, adjacency: Adjacency) -> int:
+        """Return the largest gang of such tasks on empty workers."""
+        most = 0
+        for group in self._groups(adjacency):
+            room = sum(
+                self._room(
+                    replace(
+                        worker,
+                        cores=worker.all_cores,
+                        memory_gb=worker.all_memory_gb,
+                    ),
+                    request,
+                )
+                for worker in group
+            )
+            most = max(most, room)
+        return most
+
     @staticmethod
     def _room(worker: WorkerCores, request: CoreRequest) -> int:
-        if not worker.offered:
-            return 0
         by_cores = worker.cores / max(request.cores, 0.01)
         by_memory = worker.memory_gb / max(request.memory_gb, 0.01)
         return max(0, int(min(by_cores, by_memory) + 1e-9))
--- a/hickorywing/policy/guarantees.py
+++ b/hickorywing/policy/guarantees.py
@@ -3,8 +3,9 @@
 Each guaranteed cell is virtual until its customer uses it: then it is bound to
 a cell of the zone that no other guarantee is bound to. The invariant checked
 after each decision is that the cells still unbound fit into the unclaimed
-cells, whoever borrows those at the moment. Binding lazily, and to any cell of
-the right size, follows HiveD (OSDI 2020).
+cells, whoever borrows those at the moment: no decision may lose capacity that
+a guarantee needs, neither of the workers present nor of all workers. Binding
+lazily, and to any cell of the right size, follows HiveD (OSDI 2020).
 """
 
 from dataclasses import dataclass
@@ -86,6 +87,10 @@
         """Return the unbound accelerators that do not fit at present."""
         return fits(self.index.counts.maximal, self.unbound)
 
+    def potential_shortfall(self) -> int:
+        """Return what would not fit if every worker were offered."""
+        return fits(self.index.potential, self.unbound)
+
     def risks(self) -> list[Risk]:
         """Name the guarantees that lost capacity leaves without cells."""
         short = self.shortfall()
--- a/hickorywing/policy/limits.py
+++ b/hickorywing/policy/limits.py
@@ -11,12 +11,10 @@
     "WaitQueue",
 ]
 
-MIN_LIMIT = 4.0
 MAX_LIMIT = 64.0
-SHRINK_FACTOR = 0.8
-SLOW_RATIO = 3.0
+MAX_WAIT_S = 0.5
+SHRINK_FACTOR = 0.9
 SMOOTHING = 0.1
-BASELINE_DRIFT = 0.01
 
 
 class ServiceTimes:
@@ -34,35 +32,24 @@
 
 
 class AdaptiveLimit:
-    """A concurrency limit that follows the latency of one back end.
+    """A concurrency limit that follows the queue of one back end.
 
-    The limit grows by one per limit's worth of good answers and shrinks by a
-    factor when an answer is refused or takes ``SLOW_RATIO`` times the usual.
+    The limit grows by one for each limit's worth of requests that hardly
+    waited for a slot, and shrinks by a factor when one was refused or waited
+    longer than ``MAX_WAIT_S``. It never falls below the back end's slots.
     """
 
-    def __init__(self, initial: float = 16.0) -> None:
-        self.limit = initial
-        self.usual_s: float | None = None
-
-    def observe(self, seconds: float, refused: bool) -> None:
-        """Take in one answer."""
-        if refused:
-            self._shrink()
-            return
-        usual = self.usual_s
-        if usual is None:
-            self.usual_s = seconds
-            return
-        rate = SMOOTHING if seconds < usual else BASELINE_DRIFT
-        self.usual_s = usual + rate * (seconds - usual)
-        if seconds > SLOW_RATIO * usual:
-            self._shrink()
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.limit = 2.0 * slots
+
+    def observe(self, wait_s: float, refused: bool) -> None:
+        """Take in how long one request waited for a slot, in seconds."""
+        if refused or wait_s > MAX_WAIT_S:
+            self.limit = max(float(self.slots), self.limit * SHRINK_FACTOR)
         else:
             self.limit = min(MAX_LIMIT, self.limit + 1.0 / self.limit)
 
-    def _shrink(self) -> None:
-        self.limit = max(MIN_LIMIT, self.limit * SHRINK_FACTOR)
-
 
 class RetryBudget:
     """Allow retries as a share of the requests of late."""
--- a/hickorywing/policy/placement.py
+++ b/hickorywing/policy/placement.py
@@ -112,19 +112,25 @@
     return None
 
 
-def _enclosing_idle(worker: WorkerCells, cell: Cell) -> int:
-    """Return the size of the largest idle cell around an idle cell."""
-    best = cell.size
+def _enclosing_cells(worker: WorkerCells, cell: Cell) -> Iterator[Cell]:
+    """Yield the larger cells around a cell, smallest first."""
     for offset, root in worker.roots:
         if not offset <= cell.offset < offset + root:
             continue
         size = cell.size * 2
         while size <= root:
             start = offset + (cell.offset - offset) // size * size
-            if not worker.is_idle(Cell(cell.worker_id, start, size)):
-                break
-            best = size
+            yield Cell(cell.worker_id, start, size)
             size *= 2
+
+
+def _enclosing_idle(worker: WorkerCells, cell: Cell) -> int:
+    """Return the size of the largest idle cell around an idle cell."""
+    best = cell.size
+    for around in _enclosing_cells(worker, cell):
+        if not worker.is_idle(around):
+            break
+        best = around.size
     return best
 
 
@@ -280,6 +286,8 @@
             found = _price_cell(worker, cell, cost_of)
             if found is not None:
                 found.owner = owner
+                if not found.holders:
+                    found.cost = _enclosing_idle(worker, cell) / 1000
                 priced.append(found)
     priced.sort(key=lambda item: item.cost)
     for item in priced[: spec.tasks]:
@@ -303,8 +311,11 @@
     free = [cell for cell in ledger.cells[spec.customer] if not cell.bound]
     free = [cell for cell in free if cell.size >= size]
     free.sort(key=lambda cell: cell.size)
-    available = list(ledger.index.counts.maximal)
-    unbound = list(ledger.unbound)
+    room = Room(
+        list(ledger.index.counts.maximal),
+        list(ledger.index.potential),
+        list(ledger.unbound),
+    )
     taken: set[Cell] = set()
     candidates: dict[int, list[PricedCell]] = {}
     for owner in free:
@@ -312,54 +323,57 @@
             return
         if owner.size not in candidates:
             candidates[owner.size] = _unclaimed_cells(
-                scope, owner.size, cost_of
+                scope,
+                owner.size,
+                size,
+                spec.tasks - len(plan.cells),
+                cost_of,
             )
-        choice = _choose_binding(
-            candidates[owner.size], taken, ledger, available, unbound
-        )
-        if choice is None:
+        chosen = _choose_binding(candidates[owner.size], taken, ledger, room)
+        if chosen is None:
             continue
+        choice, room = chosen
         taken.add(choice.cell)
         plan.bindings.append((owner, choice.cell))
         _fill_binding(plan, scope, owner, choice.cell, spec, size, cost_of)
 
 
 def _unclaimed_cells(
-    scope: Scope, size: int, cost_of: EvictionCost
+    scope: Scope, owner_size: int, size: int, tasks: int, cost_of: EvictionCost
 ) -> list[PricedCell]:
-    position = size_index(size)
+    """Price the unclaimed cells that a guaranteed cell could be bound to.
+
+    Only the cells that the tasks need count as a cost; borrowers in the rest
+    of the bound cell stay. Among equal costs the fullest cell comes first.
+    """
+    position = size_index(owner_size)
     found: list[PricedCell] = []
     for worker in scope.workers:
         if worker.counts.unclaimed[position] == 0:
             continue
-        for cell in worker.cells(size):
+        for cell in worker.cells(owner_size):
             if not worker.is_unclaimed(cell):
                 continue
-            priced = _price_cell(worker, cell, cost_of)
-            if priced is not None:
-                priced.cost += _unclaimed_size(worker, cell) / 1000
-                found.append(priced)
+            inner = [
+                priced
+                for priced in (
+                    _price_cell(worker, part, cost_of)
+                    for part in cell.cut(size)
+                )
+                if priced is not None
+            ]
+            if not inner:
+                continue
+            inner.sort(key=lambda item: item.cost)
+            used = inner[: min(tasks, owner_size // size)]
+            cost = sum(item.cost for item in used) / len(used)
+            cost += sum(1 for item in inner if not item.holders) / 1000
+            cost += _free_around(worker, cell, set()) / 100
+            found.append(PricedCell(cost, cell, set()))
     found.sort(key=lambda item: item.cost)
     return found
 
 
-def _unclaimed_size(worker: WorkerCells, cell: Cell) -> int:
-    """Return the size of the largest unclaimed cell around a cell."""
-    best = cell.size
-    for offset, root in worker.roots:
-        if not offset <= cell.offset < offset + root:
-            continue
-        size = cell.size * 2
-        while size <= root:
-            start = offset + (cell.offset - offset) // size * size
-            around = Cell(cell.worker_id, start, size)
-            if not worker.is_unclaimed(around):
-                break
-            best = size
-            size *= 2
-    return best
-
-
 def _overlaps(cell: Cell, other: Cell) -> bool:
     return (
         cell.worker_id == other.worker_id
@@ -368,35 +382,64 @@
     )
 
 
+@dataclass(slots=True)
+class Room:
+    """Unclaimed cells and the guaranteed cells that they must hold."""
+
+    available: list[int]
+    potential: list[int]
+    unbound: list[int]
+
+    def shortfall(self) -> tuple[int, int]:
+        """Return what does not fit: of present and of all workers."""
+        return (
+            fits(self.available, self.unbound),
+            fits(self.potential, self.unbound),
+        )
+
+    def after(self, around: int, size: int) -> "Room":
+        """Return the room left after binding one cell."""
+        left = Room(
+            list(self.available), list(self.potential), list(self.unbound)
+        )
+        _split(left.available, around, size)
+        _split(left.potential, around, size)
+        left.unbound[size_index(size)] -= 1
+        return left
+
+
 def _choose_binding(
     candidates: list[PricedCell],
     taken: set[Cell],
     ledger: GuaranteeLedger,
-    available: list[int],
-    unbound: list[int],
-) -> PricedCell | None:
+    room: Room,
+) -> tuple[PricedCell, Room] | None:
     """Choose the cheapest binding that leaves every other guarantee whole."""
-    short_before = fits(available, unbound)
+    present, potential = room.shortfall()
     for item in candidates:
         cell = item.cell
         if any(_overlaps(cell, other) for other in taken):
             continue
         worker = ledger.index.workers[cell.worker_id]
-        around = _unclaimed_size(worker, cell)
-        if any(other.worker_id == cell.worker_id for other in taken):
-            around = cell.size
-        left = list(available)
-        _split(left, around, cell.size)
-        still = list(unbound)
-        still[size_index(cell.size)] -= 1
-        if left[size_index(around)] < 0 or fits(left, still) > short_before:
-            continue
-        available[:] = left
-        unbound[:] = still
-        return item
+        left = room.after(_free_around(worker, cell, taken), cell.size)
+        short = left.shortfall()
+        if short[0] <= present and short[1] <= potential:
+            return item, left
     return None
 
 
+def _free_around(worker: WorkerCells, cell: Cell, taken: set[Cell]) -> int:
+    """Return the largest unclaimed cell around one, beside those taken."""
+    best = cell.size
+    for around in _enclosing_cells(worker, cell):
+        if not worker.is_unclaimed(around):
+            break
+        if any(_overlaps(around, other) for other in taken):
+            break
+        best = around.size
+    return best
+
+
 def _split(available: list[int], around: int, size: int) -> None:
     """Take one cell of ``size`` out of a maximal cell of ``around``."""
     available[size_index(around)] -= 1
--- a/hickorywing/policy/quarantine.py
+++ b/hickorywing/policy/quarantine.py
@@ -54,7 +54,9 @@
     def _forgive(self, job_id: str, failed_on: set[str]) -> None:
         """Hold a job that fails on several workers against none of them."""
         for worker_id in failed_on:
-            self._workers[worker_id].failed_jobs.pop(job_id, None)
+            entry = self._workers.get(worker_id)
+            if entry is not None:
+                entry.failed_jobs.pop(job_id, None)
 
     def record_success(self, worker_id: str, job_id: str) -> None:
         """Clear a worker that has just finished a task."""
--- a/hickorywing/policy/scheduler.py
+++ b/hickorywing/policy/scheduler.py
@@ -142,25 +142,30 @@
         self._capacity_changed()
 
     def lose_worker(self, worker_id: str) -> list[str]:
-        """Withhold a lost worker; return the jobs that had a task there."""
+        """Withhold a lost worker; return the jobs that had a task there.
+
+        Jobs that were only waiting for cells there go back to the queue.
+        """
         self.cells.set_offered(worker_id, False)
         self.cores.set_offered(worker_id, False)
         self.ledger.lose_worker(worker_id)
-        self._capacity_changed()
+        for job_id in sorted(self._jobs_on[worker_id]):
+            job = self.jobs[job_id]
+            if job.state is JobState.CLEARING:
+                self._release(job)
+                self._enqueue(job, job.waiting_since)
         return sorted(self._jobs_on[worker_id])
 
     def withhold_worker(self, worker_id: str) -> None:
         """Place nothing more on a worker whose tasks go on."""
         self.cells.set_offered(worker_id, False)
         self.cores.set_offered(worker_id, False)
-        self._capacity_changed()
 
     def restore_worker(self, worker_id: str) -> None:
         """Offer a worker again after it was lost or quarantined."""
         offered = not self.quarantine.is_quarantined(worker_id)
         self.cells.set_offered(worker_id, offered)
         self.cores.set_offered(worker_id, offered)
-        self._capacity_changed()
 
     def set_rules(
         self, customers: Iterable[Customer], guarantees: list[Guarantee]
@@ -182,7 +187,8 @@
             job.placement = Placement(job.placement.tasks, guaranteed=False)
 
     def _capacity_changed(self) -> None:
-        self.allowed_shortfall = self.ledger.shortfall()
+        """Take the shortfall of new capacity or rules as the new bound."""
+        self.allowed_shortfall = self.ledger.potential_shortfall()
 
     def risks(self) -> list[Risk]:
         """Name the guarantees that present capacity cannot serve."""
@@ -220,17 +226,15 @@
         return None
 
     def _check_cores(self, spec: JobSpec) -> Refusal | None:
-        if spec.cores > self.cores.max_cores:
-            return Refusal(
-                f"a task needs {spec.cores:g} cores, the most that a worker"
-                f" offers is {self.cores.max_cores:g}"
-            )
-        if spec.memory_gb > self.cores.max_memory_gb:
-            return Refusal(
-                f"a task needs {spec.memory_gb:g} GB, the most that a worker"
-                f" offers is {self.cores.max_memory_gb:g}"
-            )
-        return None
+        request = CoreRequest(spec.cores, spec.memory_gb)
+        most = self.cores.most_tasks(request, spec.adjacency)
+        if most >= spec.tasks:
+            return None
+        return Refusal(
+            f"needs {spec.tasks} tasks of {spec.cores:g} cores and"
+            f" {spec.memory_gb:g} GB within one {spec.adjacency.value},"
+            f" the most anywhere is {most}"
+        )
 
     def _check_cells(self, spec: JobSpec, size: int) -> Refusal | None:
         if size > SIZES[-1]:
@@ -451,6 +455,7 @@
                 self.restore_worker(worker_id)
         if not self.zone_in:
             return []
+        short_before = self.ledger.shortfall()
         actions: list[Action] = []
         failed: dict[tuple[str, int, Adjacency, bool], int] = {}
         scanned = 0
@@ -468,7 +473,7 @@
                     break
                 if self._is_starving(job, now) or scanned >= SCAN_LIMIT:
                     break
-        self.assert_invariants()
+        self.assert_invariants(short_before)
         return actions
 
     def _candidates(self) -> Iterable[str]:
@@ -541,10 +546,11 @@
     ) -> bool:
         spec = job.spec
         request = CoreRequest(spec.cores, spec.memory_gb)
-        workers = self.cores.find(request, spec.tasks)
+        workers = self.cores.find(request, spec.tasks, spec.adjacency)
         if workers is None:
             return False
         places = tuple(TaskPlace(worker_id, 0, 0) for worker_id in workers)
+        job.attempt += 1
         self._hold(job, [], Placement(places))
         self._start(job, now, actions)
         return True
@@ -645,6 +651,7 @@
         for victim in sorted(plan.victims):
             if self._evict(self.jobs[victim], reason, actions):
                 job.blocked_on.add(victim)
+        job.attempt += 1
         self._hold(job, plan.cells, Placement(places, guaranteed))
         if job.blocked_on:
             job.state = JobState.CLEARING
@@ -732,7 +739,6 @@
         ]
 
     def _start(self, job: JobView, now: float, actions: list[Action]) -> None:
-        job.attempt += 1
         job.state = JobState.PLACED
         self.queue.remove(job.spec.job_id)
         actions.append(StartJob(job.spec.job_id, job.attempt, job.placement))
@@ -767,15 +773,21 @@
 
     # Invariants
 
-    def assert_invariants(self) -> None:
+    def assert_invariants(self, short_before: int) -> None:
         """Raise ``InvariantViolation`` when a promise does not hold."""
         short = self.ledger.shortfall()
-        if short > self.allowed_shortfall:
+        if short > short_before:
             raise InvariantViolation(
                 f"{short} guaranteed accelerators cannot be reclaimed,"
-                f" lost capacity explains {self.allowed_shortfall}"
+                f" before the decision it was {short_before}"
+            )
+        potential = self.ledger.potential_shortfall()
+        if potential > self.allowed_shortfall:
+            raise InvariantViolation(
+                f"{potential} guaranteed accelerators have no cell even with"
+                f" all workers, the rules explain {self.allowed_shortfall}"
             )
-        self.allowed_shortfall = short
+        self.allowed_shortfall = potential
 
     def assert_whole_state(self) -> None:
         """Check every cell and job against each other; linear, for tests."""
--- a/hickorywing/policy/selection.py
+++ b/hickorywing/policy/selection.py
@@ -16,7 +16,13 @@
 from hickorywing.policy.limits import AdaptiveLimit
 from hickorywing.policy.limits import ServiceTimes
 
-__all__ = ["BackendSelector", "BackendState", "RoundRobin", "Selector"]
+__all__ = [
+    "BackendAnswer",
+    "BackendSelector",
+    "BackendState",
+    "RoundRobin",
+    "Selector",
+]
 
 CHOICES = 3
 FAILURES_TO_EJECT = 5
@@ -39,10 +45,13 @@
     failures_in_row: int = 0
     ejected_until: float = 0.0
     ejection_s: float = FIRST_EJECTION_S
-    limit: AdaptiveLimit = field(default_factory=AdaptiveLimit)
     service: ServiceTimes = field(
         default_factory=lambda: ServiceTimes(INITIAL_SERVICE_S)
     )
+    limit: AdaptiveLimit = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.limit = AdaptiveLimit(self.slots)
 
     def expected_s(self) -> float:
         """Return the time in seconds that one more request would take."""
@@ -50,6 +59,16 @@
         return self.service.mean_s * max(1.0, waves)
 
 
+@dataclass(frozen=True, slots=True)
+class BackendAnswer:
+    """How a back end answered; times are in seconds."""
+
+    seconds: float
+    wait_s: float
+    failed: bool
+    refused: bool
+
+
 class Selector(ABC):
     """Chooses back ends and learns from their answers."""
 
@@ -84,21 +103,21 @@
         failed: bool,
         refused: bool,
         now: float,
+        wait_s: float = 0.0,
     ) -> None:
-        """Note an answer after ``seconds``."""
+        """Note an answer after ``seconds``, ``wait_s`` of them for a slot."""
         backend = self.backends.get(name)
         if backend is None:
             return
         backend.outstanding = max(0, backend.outstanding - 1)
-        self._learn(backend, seconds, failed, refused, now)
+        answer = BackendAnswer(seconds, wait_s, failed, refused)
+        self._learn(backend, answer, now)
 
     @abstractmethod
     def _learn(
         self,
         backend: BackendState,
-        seconds: float,
-        failed: bool,
-        refused: bool,
+        answer: BackendAnswer,
         now: float,
     ) -> None:
         """Learn from an answer."""
@@ -124,9 +143,7 @@
     def _learn(
         self,
         backend: BackendState,
-        seconds: float,
-        failed: bool,
-        refused: bool,
+        answer: BackendAnswer,
         now: float,
     ) -> None:
         """Learn nothing."""
@@ -168,21 +185,19 @@
     def _learn(
         self,
         backend: BackendState,
-        seconds: float,
-        failed: bool,
-        refused: bool,
+        answer: BackendAnswer,
         now: float,
     ) -> None:
-        backend.limit.observe(seconds, refused)
-        if refused:
+        backend.limit.observe(answer.wait_s, answer.refused)
+        if answer.refused:
             return
-        if failed:
+        if answer.failed:
             backend.failures_in_row += 1
             if backend.failures_in_row >= FAILURES_TO_EJECT:
                 self._eject(backend, now)
             return
         backend.failures_in_row = 0
-        backend.service.observe(seconds)
+        backend.service.observe(answer.seconds - answer.wait_s)
         if self._is_slow(backend):
             self._eject(backend, now)
 
--- a/hickorywing/zonecontroller.py
+++ b/hickorywing/zonecontroller.py
@@ -49,7 +49,8 @@
 from hickorywing.policy.gang import GangActionKind
 from hickorywing.policy.gang import GangPhase
 from hickorywing.policy.gang import GangStart
-from hickorywing.policy.homes import choose_home
+from hickorywing.policy.homes import plan_moves
+from hickorywing.policy.homes import WaitingJob
 from hickorywing.policy.homes import ZoneDigest
 from hickorywing.policy.membership import Membership
 from hickorywing.policy.membership import Presence
@@ -70,8 +71,6 @@
 HELLO_EVERY_S = 1.0
 INBOX_EVERY_S = 2.0
 SPILL_EVERY_S = 2.0
-SPILL_AFTER_S = 6.0
-MOVES_PER_STEP = 4
 CONTROLLER_SILENT_S = 4.0
 START_PATIENCE_S = 20.0
 PLACE_PATIENCE_S = 6.0
@@ -830,22 +829,13 @@
         if now < self._spill_at:
             return
         self._spill_at = now + SPILL_EVERY_S
-        is_in = self.scheduler.zone_in
-        moved = 0
-        for job in self.scheduler.queued_jobs():
-            waited = now - job.waiting_since
-            if moved >= MOVES_PER_STEP * (1 if is_in else 10):
-                return
-            if is_in and waited < SPILL_AFTER_S:
-                continue
-            home = choose_home(job.spec, self._digests(), self.zone)
-            if home is None or home == self.zone:
-                continue
-            if is_in and self.zones[home].queued > 0:
-                continue
-            moved += 1
-            self.scheduler.withdraw(job.spec.job_id)
-            self._spawn(self._move(job, home))
+        waiting = [
+            WaitingJob(job.spec, now - job.waiting_since)
+            for job in self.scheduler.queued_jobs()
+        ]
+        for move in plan_moves(self.zone, waiting, self._digests()):
+            job = self.scheduler.withdraw(move.job_id)
+            self._spawn(self._move(job, move.zone))
 
     def _digests(self) -> list[ZoneDigest]:
         out = self.register.head.zones_out
--- /dev/null
+++ b/tools/workloads.py
@@ -0,0 +1,220 @@
+"""Sites and workloads for the measurements."""
+
+from dataclasses import dataclass
+from pathlib import Path
+import random
+
+from zonefake import FakeJob
+from zonefake import FakeSystem
+from zonefake import Site
+
+from hickorywing.documents import load_document
+from hickorywing.inventory import InventoryModel
+from hickorywing.policy.model import Adjacency
+from hickorywing.policy.model import Customer
+from hickorywing.policy.model import Guarantee
+from hickorywing.policy.model import JobSpec
+from hickorywing.policy.model import WorkerSpec
+from hickorywing.rules import allot_guarantees
+from hickorywing.rules import RulesModel
+
+__all__ = ["Scenario", "make_jobs", "make_scenarios", "make_site", "prepare"]
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+HOUR_S = 3600.0
+MAX_RUN_S = 6 * HOUR_S
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """A site with how long it is loaded and when a zone is out."""
+
+    name: str
+    site: Site
+    arrivals_s: float
+    load: float
+    zone_out: str
+    out_at: float
+    back_at: float
+
+
+def make_site(
+    name: str,
+    per_zone: list[tuple[str, int]],
+    cores: float,
+    customers: list[str],
+    shares: list[tuple[str, int, float]],
+    mixed: bool = False,
+) -> Site:
+    """Return a site whose guarantees cover given shares of each zone."""
+    workers = []
+    guarantees = []
+    for zone, count in per_zone:
+        for number in range(count):
+            accelerators = 8
+            if mixed and number % 20 > 15:
+                accelerators = (0, 4, 3, 6)[number % 4]
+            workers.append(
+                WorkerSpec(
+                    f"{zone}-{number:03d}",
+                    zone,
+                    f"{zone}-r{number // 3}",
+                    accelerators,
+                    cores,
+                    256.0,
+                )
+            )
+        full = sum(
+            1
+            for worker in workers
+            if worker.zone == zone and worker.accelerators == 8
+        )
+        for customer, size, share in shares:
+            cells = int(full * 8 * share / size)
+            if cells:
+                guarantees.append(Guarantee(customer, size, cells, zone))
+    return Site(
+        name,
+        tuple(workers),
+        tuple(Customer(item) for item in customers),
+        tuple(guarantees),
+    )
+
+
+def load_site(name: str) -> Site:
+    """Return the site that an example ships."""
+    folder = EXAMPLES / name
+    inventory = load_document(
+        folder / "inventory.jsonc", InventoryModel
+    ).unwrap()
+    rules = load_document(folder / "rules.jsonc", RulesModel).unwrap()
+    workers = [
+        spec for zone in inventory.zones for spec in inventory.specs(zone)
+    ]
+    return Site(
+        name,
+        tuple(workers),
+        tuple(rules.policy_customers()),
+        tuple(allot_guarantees(rules, inventory).unwrap()),
+    )
+
+
+def make_scenarios() -> list[Scenario]:
+    """Return the scenarios of the measurement."""
+    cooperative = load_site("cooperative")
+    waarborgwerk = load_site("waarborgwerk")
+    zone430 = make_site(
+        "zone430",
+        [("big", 430), ("near", 140)],
+        96.0,
+        [f"team-{number:02d}" for number in range(16)],
+        [(f"team-{number:02d}", 8, 0.05) for number in range(16)],
+        mixed=True,
+    )
+    return [
+        Scenario(
+            "cooperative", cooperative, 24 * HOUR_S, 0.85, "cordoba",
+            8 * HOUR_S, 12 * HOUR_S,
+        ),
+        Scenario(
+            "waarborgwerk", waarborgwerk, 24 * HOUR_S, 0.85, "leuven",
+            8 * HOUR_S, 12 * HOUR_S,
+        ),
+        Scenario(
+            "zone430", zone430, 5 * HOUR_S, 0.9, "near",
+            2 * HOUR_S, 3 * HOUR_S,
+        ),
+    ]  # fmt: skip
+
+
+def _draw_shape(source: random.Random) -> tuple[int, int, float, Adjacency]:
+    """Return tasks, accelerators each, median run time and adjacency."""
+    kind = source.random()
+    if kind < 0.15:
+        return source.choice([1, 2, 4]), 0, 300.0, Adjacency.ZONE
+    if kind < 0.65:
+        return 1, source.choice([1, 1, 1, 2]), 500.0, Adjacency.ZONE
+    if kind < 0.85:
+        return 1, source.choice([4, 8]), 1500.0, Adjacency.ZONE
+    if kind < 0.95:
+        return source.choice([2, 3]), 8, 3000.0, Adjacency.ZONE
+    return source.choice([4, 8]), 2, 2400.0, Adjacency.RACK
+
+
+def make_jobs(scenario: Scenario, seed: int) -> list[FakeJob]:
+    """Return jobs whose work is ``load`` of the site's accelerators."""
+    source = random.Random(seed)
+    names = [customer.name for customer in scenario.site.customers]
+    bias = {name: source.lognormvariate(0.0, 0.8) for name in names}
+    wanted = scenario.load * scenario.site.accelerators * scenario.arrivals_s
+    jobs: list[FakeJob] = []
+    work = 0.0
+    while work < wanted:
+        at = source.uniform(0, scenario.arrivals_s)
+        burst = 1
+        customer = source.choice(names)
+        shape = _draw_shape(source)
+        if source.random() < 0.03:
+            burst = source.randint(5, 30 if shape[1] * shape[0] < 8 else 6)
+        for _ in range(burst):
+            job = _make_job(source, len(jobs), customer, shape, at, bias)
+            jobs.append(job)
+            held = max(0.25, job.spec.total_accelerators)
+            work += job.work_s * held
+    jobs.sort(key=lambda job: job.arrives)
+    return jobs
+
+
+def _make_job(
+    source: random.Random,
+    number: int,
+    customer: str,
+    shape: tuple[int, int, float, Adjacency],
+    at: float,
+    bias: dict[str, float],
+) -> FakeJob:
+    tasks, accelerators, median_s, adjacency = shape
+    run_s = min(MAX_RUN_S, source.lognormvariate(0.0, 0.9) * median_s)
+    declared = run_s * bias[customer] * source.lognormvariate(0.0, 0.7)
+    spec = JobSpec(
+        f"j{number}",
+        customer,
+        tasks,
+        accelerators,
+        cores=2.0 if accelerators == 0 else 4.0 * accelerators,
+        memory_gb=4.0 if accelerators == 0 else 8.0 * accelerators,
+        adjacency=adjacency,
+        declared_run_s=max(1.0, declared),
+        urgent=accelerators <= 2 and source.random() < 0.04,
+    )
+    job = FakeJob(spec, at, run_s)
+    if source.random() < 0.03:
+        job.cancel_at = at + source.uniform(0, 2 * run_s)
+    if source.random() < 0.004:
+        job.fails = True
+    return job
+
+
+def prepare(system: FakeSystem, scenario: Scenario, seed: int) -> None:
+    """Add jobs, a zone change, a cancel wave and a failing worker."""
+    jobs = make_jobs(scenario, seed)
+    for job in jobs:
+        system.add_job(job)
+    zone = scenario.zone_out
+    system.at(scenario.out_at, lambda: system.take_zone_out(zone))
+    system.at(scenario.back_at, lambda: system.bring_zone_back(zone))
+    bad = scenario.site.workers[1].worker_id
+    start = scenario.arrivals_s * 0.6
+    system.at(start, lambda: system.failing.add(bad))
+    system.at(start + 1800.0, lambda: system.failing.discard(bad))
+    lost = scenario.site.workers[2].worker_id
+    middle = scenario.arrivals_s * 0.5
+    system.at(middle, lambda: system.lose_worker(lost))
+    system.at(middle + 900.0, lambda: system.restore_worker(lost))
+    wave_at = scenario.arrivals_s * 0.7
+    customer = scenario.site.customers[0].name
+    for job in jobs:
+        mine = job.spec.customer == customer
+        if mine and wave_at - 1200 < job.arrives < wave_at:
+            job.cancel_at = wave_at
+            system.at(wave_at, lambda job=job: system._cancel(job))
--- /dev/null
+++ b/tools/zonefake.py
@@ -0,0 +1,461 @@
+"""Drive the zone decisions over virtual time with fakes of workers.
+
+There is no network and no process here: a heap of events calls
+``policy.ZoneScheduler`` for each zone and carries its actions out at once or
+after the time that a checkpoint or a start takes.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import heapq
+import itertools
+import random
+
+from hickorywing.errors import InvariantViolation
+from hickorywing.policy.actions import Action
+from hickorywing.policy.actions import EvictJob
+from hickorywing.policy.actions import FailJob
+from hickorywing.policy.actions import Outcome
+from hickorywing.policy.actions import StartJob
+from hickorywing.policy.cells import size_index
+from hickorywing.policy.homes import choose_home
+from hickorywing.policy.homes import plan_moves
+from hickorywing.policy.homes import WaitingJob
+from hickorywing.policy.homes import ZoneDigest
+from hickorywing.policy.model import Customer
+from hickorywing.policy.model import Guarantee
+from hickorywing.policy.model import JobSpec
+from hickorywing.policy.model import WorkerSpec
+from hickorywing.policy.scheduler import JobState
+from hickorywing.policy.scheduler import JobView
+from hickorywing.policy.scheduler import SchedulerOptions
+from hickorywing.policy.scheduler import ZoneScheduler
+
+__all__ = ["FakeJob", "FakeSystem", "Site", "Tally"]
+
+START_S = 0.4
+CHECKPOINT_S = 1.5
+RESUME_COST_S = 20.0
+SAMPLE_EVERY_S = 60.0
+SPILL_EVERY_S = 2.0
+
+
+@dataclass(frozen=True)
+class Site:
+    """Zones, workers, customers and guarantees of one user."""
+
+    name: str
+    workers: tuple[WorkerSpec, ...]
+    customers: tuple[Customer, ...]
+    guarantees: tuple[Guarantee, ...]
+
+    @property
+    def zones(self) -> list[str]:
+        """Return the zones in the order of the workers."""
+        return list(dict.fromkeys(worker.zone for worker in self.workers))
+
+    @property
+    def accelerators(self) -> int:
+        """Return the accelerators of all workers."""
+        return sum(worker.accelerators for worker in self.workers)
+
+
+@dataclass
+class FakeJob:
+    """A job with the truth that the scheduler does not know."""
+
+    spec: JobSpec
+    arrives: float
+    work_s: float
+    cancel_at: float | None = None
+    fails: bool = False
+    zone: str = ""
+    attempt: int = 0
+    attained_s: float = 0.0
+    running_from: float | None = None
+    started_at: float | None = None
+    ended_at: float | None = None
+    end: str = ""
+
+
+@dataclass
+class Tally:
+    """What one run showed."""
+
+    jobs: list[FakeJob] = field(default_factory=list)
+    fragmentation: list[float] = field(default_factory=list)
+    stranded_samples: int = 0
+    samples: int = 0
+    useful: list[tuple[float, float, int]] = field(default_factory=list)
+    reclaim_s: list[float] = field(default_factory=list)
+    decisions_s: list[float] = field(default_factory=list)
+    evictions: int = 0
+    invariant_failures: int = 0
+
+    def useful_hours(self, start: float, end: float) -> float:
+        """Return accelerator-hours of kept work between two times."""
+        total = 0.0
+        for since, until, accelerators in self.useful:
+            overlap = min(until, end) - max(since, start)
+            if overlap > 0:
+                total += overlap * accelerators
+        return total / 3600.0
+
+
+class FakeSystem:
+    """All zones of one site under one policy."""
+
+    def __init__(
+        self,
+        site: Site,
+        options: SchedulerOptions,
+        seed: int,
+        clock: Callable[[], float] | None = None,
+        check_whole: bool = False,
+    ) -> None:
+        self.site = site
+        self.options = options
+        self.random = random.Random(seed)
+        self.clock = clock
+        self.check_whole = check_whole
+        self.now = 0.0
+        self.tally = Tally()
+        self.jobs: dict[str, FakeJob] = {}
+        self.zones: dict[str, ZoneScheduler] = {}
+        self.failing: set[str] = set()
+        self.lost: set[str] = set()
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._dirty: set[str] = set()
+        self._live = 0
+        self._clearing: dict[str, float] = {}
+        self._next_sample = 0.0
+        self._next_spill = 0.0
+        for zone in site.zones:
+            self.zones[zone] = self._make_zone(zone)
+        self._capacity = {
+            zone: max(1, scheduler.cells.counts.idle[0])
+            for zone, scheduler in self.zones.items()
+        }
+        self._guaranteed = {
+            zone: frozenset(
+                item.customer for item in site.guarantees if item.zone == zone
+            )
+            for zone in site.zones
+        }
+
+    def _make_zone(self, zone: str) -> ZoneScheduler:
+        scheduler = ZoneScheduler(self.options)
+        for worker in self.site.workers:
+            if worker.zone == zone:
+                scheduler.add_worker(worker)
+        scheduler.set_rules(
+            self.site.customers,
+            [item for item in self.site.guarantees if item.zone == zone],
+        )
+        return scheduler
+
+    # Events
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Do something at a time in seconds."""
+        heapq.heappush(self._heap, (when, next(self._numbers), action))
+
+    def add_job(self, job: FakeJob) -> None:
+        """Let a job arrive."""
+        self.jobs[job.spec.job_id] = job
+        self.tally.jobs.append(job)
+        self._live += 1
+        self.at(job.arrives, lambda: self._arrive(job))
+        if job.cancel_at is not None:
+            self.at(job.cancel_at, lambda: self._cancel(job))
+
+    def run(self, until: float) -> Tally:
+        """Run until a time, or until no job is left."""
+        while self._heap and self._live > 0:
+            when = self._heap[0][0]
+            if when > until:
+                break
+            self._sample_until(when)
+            self.now = when
+            while self._heap and self._heap[0][0] <= when:
+                heapq.heappop(self._heap)[2]()
+            self._decide_all()
+        return self.tally
+
+    def _arrive(self, job: FakeJob) -> None:
+        home = self._choose_home(job.spec)
+        if home is None:
+            self.at(self.now + 5.0, lambda: self._arrive(job))
+            return
+        refusal = self.zones[home].check(job.spec)
+        if refusal is not None:
+            homes = [
+                zone
+                for zone, scheduler in self.zones.items()
+                if scheduler.zone_in and scheduler.check(job.spec) is None
+            ]
+            if not homes:
+                self._end(job, "refused")
+                return
+            home = homes[0]
+        job.zone = home
+        self.zones[home].submit(job.spec, self.now)
+        self._dirty.add(home)
+
+    def _choose_home(self, spec: JobSpec) -> str | None:
+        digests = [
+            self._digest(zone, scheduler)
+            for zone, scheduler in self.zones.items()
+        ]
+        return choose_home(spec, digests, self.site.zones[0])
+
+    def _digest(self, zone: str, scheduler: ZoneScheduler) -> ZoneDigest:
+        idle = scheduler.cells.counts.idle
+        largest = max(
+            (1 << index for index, count in enumerate(idle) if count),
+            default=0,
+        )
+        return ZoneDigest(
+            zone,
+            scheduler.zone_in,
+            idle[0],
+            len(scheduler.queue),
+            largest,
+            self._capacity[zone],
+            self._guaranteed[zone],
+        )
+
+    def _cancel(self, job: FakeJob) -> None:
+        if job.ended_at is not None or not job.zone:
+            return
+        scheduler = self.zones[job.zone]
+        queued = job.spec.job_id in scheduler.queue
+        self._perform(job.zone, scheduler.cancel(job.spec.job_id, self.now))
+        if queued or job.spec.job_id not in scheduler.jobs:
+            self._end(job, "cancelled")
+        self._dirty.add(job.zone)
+
+    def _end(self, job: FakeJob, how: str) -> None:
+        if job.ended_at is None:
+            job.ended_at = self.now
+            job.end = how
+            self._live -= 1
+
+    # Decisions
+
+    def _decide_all(self) -> None:
+        for zone in sorted(self._dirty):
+            self._decide(zone)
+        self._dirty.clear()
+        if self.now >= self._next_spill:
+            self._next_spill = self.now + SPILL_EVERY_S
+            for zone in self.zones:
+                self._spill(zone)
+
+    def _decide(self, zone: str) -> None:
+        scheduler = self.zones[zone]
+        began = self.clock() if self.clock else 0.0
+        try:
+            actions = scheduler.decide(self.now)
+            if self.check_whole:
+                scheduler.assert_whole_state()
+        except InvariantViolation:
+            self.tally.invariant_failures += 1
+            raise
+        if self.clock:
+            self.tally.decisions_s.append(self.clock() - began)
+        for view in scheduler.jobs.values():
+            if view.state is JobState.CLEARING:
+                self._clearing.setdefault(view.spec.job_id, self.now)
+        self._perform(zone, actions)
+
+    def _perform(self, zone: str, actions: list[Action]) -> None:
+        for action in actions:
+            job = self.jobs[action.job_id]
+            if isinstance(action, StartJob):
+                self._start(zone, job, action)
+            elif isinstance(action, EvictJob):
+                self._evict(zone, job, action)
+            elif isinstance(action, FailJob):
+                self._end(job, "failed")
+
+    def _start(self, zone: str, job: FakeJob, action: StartJob) -> None:
+        job.attempt = action.attempt
+        attempt = action.attempt
+        since = self._clearing.pop(job.spec.job_id, None)
+        if action.placement.guaranteed and since is not None:
+            self.tally.reclaim_s.append(self.now - since + START_S)
+
+        def begin() -> None:
+            if job.attempt != attempt or job.ended_at is not None:
+                return
+            view = self.zones[zone].jobs.get(job.spec.job_id)
+            if view is None or view.state is not JobState.PLACED:
+                return
+            if job.started_at is None:
+                job.started_at = self.now
+            cost = RESUME_COST_S if job.attained_s > 0 else 0.0
+            job.running_from = self.now + cost
+            self.zones[zone].job_running(job.spec.job_id, attempt, self.now)
+            left = job.work_s - job.attained_s
+            workers = set(action.placement.workers)
+            if job.fails or workers & self.failing:
+                self.at(self.now + 1.0, lambda: fail(workers))
+            else:
+                self.at(self.now + cost + left, finish)
+
+        def finish() -> None:
+            if job.attempt != attempt or job.running_from is None:
+                return
+            if job.ended_at is not None:
+                return
+            self._note_work(job)
+            self._finish(zone, job, Outcome.DONE, None)
+            self._end(job, "done")
+
+        def fail(workers: set[str]) -> None:
+            if job.attempt != attempt or job.running_from is None:
+                return
+            job.running_from = None
+            bad = sorted(workers & self.failing) or sorted(workers)
+            self._finish(zone, job, Outcome.FAILED, bad[0])
+
+        self.at(self.now + START_S, begin)
+
+    def _note_work(self, job: FakeJob) -> None:
+        """Count work that is kept."""
+        if job.running_from is not None and job.running_from < self.now:
+            held = job.spec.total_accelerators
+            self.tally.useful.append((job.running_from, self.now, held))
+            job.attained_s += self.now - job.running_from
+        job.running_from = None
+
+    def _finish(
+        self, zone: str, job: FakeJob, outcome: Outcome, worker: str | None
+    ) -> None:
+        scheduler = self.zones[zone]
+        actions = scheduler.job_ended(
+            job.spec.job_id,
+            job.attempt,
+            outcome,
+            self.now,
+            job.attained_s,
+            worker,
+        )
+        self._perform(zone, actions)
+        self._dirty.add(zone)
+        if outcome is not Outcome.DONE and job.zone == zone:
+            if job.spec.job_id not in scheduler.jobs:
+                self._end(job, "cancelled")
+
+    def _evict(self, zone: str, job: FakeJob, action: EvictJob) -> None:
+        self.tally.evictions += 1
+        attempt = action.attempt
+
+        def stopped() -> None:
+            if job.attempt != attempt or job.ended_at is not None:
+                return
+            if action.checkpoint:
+                self._note_work(job)
+            else:
+                job.running_from = None
+                job.attained_s = 0.0
+            self._finish(zone, job, Outcome.STOPPED, None)
+
+        self.at(self.now + CHECKPOINT_S, stopped)
+
+    # Zones and workers
+
+    def take_zone_out(self, zone: str) -> None:
+        """Take a zone out now."""
+        self._perform(zone, self.zones[zone].take_out())
+        self._dirty.add(zone)
+
+    def bring_zone_back(self, zone: str) -> None:
+        """Bring a zone back now."""
+        self.zones[zone].bring_back()
+        self._dirty.add(zone)
+
+    def lose_worker(self, worker_id: str) -> None:
+        """Lose a worker: its jobs go back to their last checkpoint."""
+        zone = self._zone_of(worker_id)
+        self.lost.add(worker_id)
+        for job_id in self.zones[zone].lose_worker(worker_id):
+            job = self.jobs[job_id]
+            job.running_from = None
+            self._finish(zone, job, Outcome.LOST, None)
+        self._dirty.add(zone)
+
+    def restore_worker(self, worker_id: str) -> None:
+        """Bring a lost worker back."""
+        zone = self._zone_of(worker_id)
+        self.lost.discard(worker_id)
+        self.zones[zone].restore_worker(worker_id)
+        self._dirty.add(zone)
+
+    def _zone_of(self, worker_id: str) -> str:
+        for zone, scheduler in self.zones.items():
+            if worker_id in scheduler.cells.workers:
+                return zone
+        raise KeyError(worker_id)
+
+    def _spill(self, zone: str) -> None:
+        scheduler = self.zones[zone]
+        waiting = [
+            WaitingJob(view.spec, self.now - view.waiting_since)
+            for view in scheduler.queued_jobs()
+        ]
+        if not waiting:
+            return
+        digests = [
+            self._digest(name, other) for name, other in self.zones.items()
+        ]
+        for move in plan_moves(zone, waiting, digests):
+            view = scheduler.jobs[move.job_id]
+            if self.zones[move.zone].check(view.spec) is None:
+                self._move(view, zone, move.zone)
+
+    def _move(self, view: JobView, zone: str, home: str) -> None:
+        job_id = view.spec.job_id
+        moved = self.zones[zone].withdraw(job_id)
+        job = self.jobs[job_id]
+        job.zone = home
+        target = self.zones[home]
+        target.submit(moved.spec, moved.submitted, moved.attained_s)
+        target.jobs[job_id].attempt = moved.attempt
+        self._dirty.add(home)
+        self._decide(home)
+
+    # Samples
+
+    def _sample_until(self, when: float) -> None:
+        while self._next_sample <= when:
+            self._sample()
+            self._next_sample += SAMPLE_EVERY_S
+
+    def _sample(self) -> None:
+        for scheduler in self.zones.values():
+            if not scheduler.zone_in:
+                continue
+            waiting = [
+                view
+                for view in scheduler.queued_jobs()
+                if view.cell_size * view.spec.tasks >= 8
+            ]
+            if not waiting:
+                continue
+            largest = max(
+                waiting, key=lambda view: view.cell_size * view.spec.tasks
+            )
+            free = scheduler.cells.counts.idle[0]
+            if free == 0:
+                continue
+            size = largest.cell_size
+            cells = scheduler.cells.counts.idle[size_index(size)]
+            usable = min(free, cells * size)
+            self.tally.samples += 1
+            self.tally.fragmentation.append(1.0 - usable / free)
+            if free >= size * largest.spec.tasks:
+                self.tally.stranded_samples += 1
