Borrow idle cells first and open cells that are mostly idle

Cause: jobs went into their guarantee even when idle cells were free, so most work was guaranteed work that cannot be moved, and large gangs waited beside idle accelerators. Change: idle cells first, then the guarantee; a job that has waited 300 s may displace borrowers from cells that are at least a quarter idle; urgent work may displace its own customer's guaranteed work.

--- a/hickorywing/policy/scheduler.py
+++ b/hickorywing/policy/scheduler.py
@@ -56,10 +56,11 @@
 __all__ = ["JobState", "JobView", "SchedulerOptions", "ZoneScheduler"]
 
 STARVING_AFTER_S = 4 * 3600.0
-MIGRATE_AFTER_S = 30.0
+OPEN_AFTER_S = 300.0
 MAX_ATTEMPT_FAILURES = 4
 SCAN_LIMIT = 256
-MAX_MIGRATED_SHARE = 0.5
+MAX_DISPLACED_SHARE = 0.75
+MAX_DISPLACED_TIMES = 3
 
 
 class JobState(enum.StrEnum):
@@ -89,6 +90,9 @@
     failures: int = 0
     cancelled: bool = False
     waiting_since: float = 0.0
+    displaced: int = 0
+    displacing: str = ""
+    displacements: int = 0
 
     @property
     def guaranteed(self) -> bool:
@@ -496,7 +500,7 @@
         if job.cell_size == 0:
             return self._try_cores(job, now, actions)
         idle = self._find_idle(job)
-        if idle is not None and not self._prefers_claim(job):
+        if idle is not None:
             self._place(job, EvictionPlan(idle), None, now, actions)
             return True
         claim = find_claim(
@@ -510,15 +514,8 @@
             self._apply_claim(job, claim)
             self._place(job, claim, EvictReason.RECLAIM, now, actions)
             return True
-        if idle is not None:
-            self._place(job, EvictionPlan(idle), None, now, actions)
-            return True
         return self._try_eviction(job, now, actions)
 
-    def _prefers_claim(self, job: JobView) -> bool:
-        """Prefer the guarantee: work inside it is never displaced."""
-        return job.spec.customer in self.ledger.cells
-
     def _find_idle(self, job: JobView) -> list[Cell] | None:
         if self.options.first_fit:
             return find_idle_first_fit(self.cells, job.spec, job.cell_size)
@@ -558,35 +555,99 @@
     def _try_eviction(
         self, job: JobView, now: float, actions: list[Action]
     ) -> bool:
+        """Start a job by displacing borrowers, where that is justified."""
         if job.spec.urgent:
-            reason = EvictReason.URGENT
-            cost_of = self._cost_for_urgent
-        elif self._is_starving(job, now):
-            reason = EvictReason.STARVING
-            cost_of = self._cost_for_urgent
-        elif self._may_migrate(job, now):
-            return self._try_migration(job, now, actions)
-        else:
+            if self._evict_for(job, EvictReason.URGENT, now, actions):
+                return True
+            self._displace_own_work(job, actions)
             return False
-        plan = find_evictable(self.cells, job.spec, job.cell_size, cost_of)
+        if self._is_starving(job, now):
+            return self._evict_for(job, EvictReason.STARVING, now, actions)
+        if self._may_open_cells(job, now):
+            return self._try_to_open_cells(job, now, actions)
+        return False
+
+    def _evict_for(
+        self,
+        job: JobView,
+        reason: EvictReason,
+        now: float,
+        actions: list[Action],
+    ) -> bool:
+        """Start a job in the borrowed cells that cost least to clear."""
+        plan = find_evictable(
+            self.cells, job.spec, job.cell_size, self._cost_for_urgent
+        )
         if plan is None:
             return False
         self._place(job, plan, reason, now, actions)
         return True
 
-    def _may_migrate(self, job: JobView, now: float) -> bool:
+    def _displace_own_work(self, job: JobView, actions: list[Action]) -> None:
+        """Make room for urgent work inside its customer's guarantee.
+
+        Stops the smallest guaranteed job of the same customer that holds
+        enough; once it has stopped, the urgent job claims the cells.
+        """
+        if job.displacing in self.jobs:
+            other = self.jobs[job.displacing]
+            if other.state is JobState.STOPPING:
+                return
+        if job.displacements >= MAX_DISPLACED_TIMES:
+            return
+        own = [
+            other
+            for other in self.jobs.values()
+            if other.guaranteed
+            and other.spec.customer == job.spec.customer
+            and not other.spec.urgent
+            and other.state is JobState.RUNNING
+            and self._has_cells_for(other, job)
+        ]
+        if not own:
+            return
+        victim = min(own, key=lambda other: other.spec.total_accelerators)
+        job.displacing = victim.spec.job_id
+        job.displacements += 1
+        self._evict(victim, EvictReason.URGENT, actions)
+
+    def _has_cells_for(self, other: JobView, job: JobView) -> bool:
+        """Tell whether a job's cells alone would hold another job."""
+        room: dict[str, int] = {}
+        for cell in other.cells:
+            worker = self.cells.workers.get(cell.worker_id)
+            if worker is None or not worker.offered:
+                continue
+            group = ""
+            if job.spec.adjacency is Adjacency.RACK:
+                group = worker.spec.rack
+            elif job.spec.adjacency is Adjacency.WORKER:
+                group = cell.worker_id
+            held = room.get(group, 0)
+            room[group] = held + cell.size // job.cell_size
+        return max(room.values(), default=0) >= job.spec.tasks
+
+    def _may_open_cells(self, job: JobView, now: float) -> bool:
         if not self.options.migrate or not self.options.checkpoint:
             return False
-        if now - job.waiting_since < MIGRATE_AFTER_S:
+        if now - job.waiting_since < OPEN_AFTER_S:
             return False
-        return self.cells.counts.idle[0] >= job.cell_size * job.spec.tasks
+        wanted = job.cell_size * job.spec.tasks
+        least_idle = wanted * (1.0 - MAX_DISPLACED_SHARE)
+        return self.cells.counts.idle[0] >= least_idle
 
-    def _try_migration(
+    def _try_to_open_cells(
         self, job: JobView, now: float, actions: list[Action]
     ) -> bool:
-        """Move small borrowers away when that alone opens the cells."""
+        """Displace small borrowers from cells that are mostly idle.
+
+        They are checkpointed and go to other idle accelerators, if there are
+        any, or back to the queue in their old place. What leaves is at most
+        ``MAX_DISPLACED_SHARE`` of what the waiting job then holds, so that
+        each such step puts more accelerators to work.
+        """
         plan = find_evictable(
-            self.cells, job.spec, job.cell_size, self._cost_for_migration
+            self.cells, job.spec, job.cell_size, self._cost_to_displace
         )
         if plan is None or not plan.victims:
             return False
@@ -595,10 +656,10 @@
             for victim in plan.victims
         )
         wanted = job.cell_size * job.spec.tasks
-        if moved > wanted * MAX_MIGRATED_SHARE:
-            return False
-        if moved + wanted > self.cells.counts.idle[0] + moved:
+        if moved > wanted * MAX_DISPLACED_SHARE:
             return False
+        for victim in plan.victims:
+            self.jobs[victim].displaced += 1
         self._place(job, plan, EvictReason.MIGRATE, now, actions)
         return True
 
@@ -617,10 +678,12 @@
             return None
         return self._cost_for_claim(job_id)
 
-    def _cost_for_migration(self, job_id: str) -> float | None:
+    def _cost_to_displace(self, job_id: str) -> float | None:
         job = self.jobs.get(job_id)
         if job is None or job.state is not JobState.RUNNING:
             return None
+        if job.displaced >= MAX_DISPLACED_TIMES:
+            return None
         return self._cost_for_urgent(job_id)
 
     # Holding and releasing
