Bound the searches of one decision

Change: at most two searches over many cells a decision (urgent work is exempt), none repeated before a guarantee changed hands or a second passed; pricing stops after 32 cells and 16 racks; refusals are kept by shape.

--- a/hickorywing/policy/cells.py
+++ b/hickorywing/policy/cells.py
@@ -273,6 +273,14 @@
                     seen.add(worker_id)
                     yield self.workers[worker_id]
 
+    def most_idle_workers(self) -> list[WorkerCells]:
+        """Return all workers, those with the largest idle cells first."""
+        ordered: dict[str, None] = {}
+        for bucket in reversed(self._by_maximal):
+            ordered.update(bucket)
+        ordered.update(dict.fromkeys(self.workers))
+        return [self.workers[worker_id] for worker_id in ordered]
+
     def _refresh(self, worker: WorkerCells) -> None:
         rack = self.racks[worker.spec.rack]
         old = worker.counts
--- a/hickorywing/policy/guarantees.py
+++ b/hickorywing/policy/guarantees.py
@@ -48,6 +48,7 @@
         self.index = index
         self.cells: dict[str, list[GuaranteedCell]] = {}
         self.unbound = [0] * len(SIZES)
+        self.changes = 0
 
     def set_guarantees(self, guarantees: list[Guarantee]) -> set[str]:
         """Replace the guarantees; cells in use stay bound when still due.
@@ -55,6 +56,7 @@
         Returns the jobs that held a cell which is no longer guaranteed.
         """
         dropped: set[str] = set()
+        self.changes += 1
         due: dict[tuple[str, int], int] = {}
         for guarantee in guarantees:
             key = (guarantee.customer, guarantee.accelerators)
@@ -123,6 +125,7 @@
         """Return a bound cell to the unclaimed ones."""
         if guaranteed.bound is None:
             return
+        self.changes += 1
         self.index.set_claim(guaranteed.bound, None)
         guaranteed.bound = None
         guaranteed.users.clear()
@@ -134,6 +137,7 @@
 
     def release_job(self, customer: str, job_id: str) -> None:
         """Take a job out of its customer's cells; unbind the empty ones."""
+        self.changes += 1
         for cell in self.cells.get(customer, ()):
             if cell.users.pop(job_id, None) and not cell.users:
                 self.unbind(cell)
--- a/hickorywing/policy/placement.py
+++ b/hickorywing/policy/placement.py
@@ -45,6 +45,10 @@
     bindings: list[tuple[GuaranteedCell, Cell]] = field(default_factory=list)
 
 
+PRICED_CELLS = 32
+PRICED_SCOPES = 16
+
+
 @dataclass(slots=True)
 class Scope:
     """A part of the zone that one gang has to fit into."""
@@ -147,10 +151,10 @@
         return None
     best: EvictionPlan | None = None
     best_cost = float("inf")
-    for scope in find_scopes(index, spec.adjacency):
-        if scope.counts.soft[position] < spec.tasks:
-            continue
-        priced = _price_cells(scope.workers, size, cost_of)
+    for scope in _most_idle_scopes(index, spec, position):
+        priced = _price_cells(
+            scope.workers, size, cost_of, max(PRICED_CELLS, 4 * spec.tasks)
+        )
         if len(priced) < spec.tasks:
             continue
         plan, cost = _pick_cheapest(priced, spec.tasks, cost_of)
@@ -159,6 +163,21 @@
     return best
 
 
+def _most_idle_scopes(
+    index: CellIndex, spec: JobSpec, position: int
+) -> list[Scope]:
+    """Return the scopes worth pricing, those with most idle cells first."""
+    if spec.adjacency is Adjacency.ZONE:
+        return [Scope(index.most_idle_workers(), index.counts)]
+    scopes = [
+        scope
+        for scope in find_scopes(index, spec.adjacency)
+        if scope.counts.soft[position] >= spec.tasks
+    ]
+    scopes.sort(key=lambda scope: -scope.counts.idle[0])
+    return scopes[:PRICED_SCOPES]
+
+
 @dataclass(slots=True)
 class PricedCell:
     """A cell with the jobs that hold it and the cost of stopping them."""
@@ -171,8 +190,9 @@
 
 
 def _price_cells(
-    workers: list[WorkerCells], size: int, cost_of: EvictionCost
+    workers: list[WorkerCells], size: int, cost_of: EvictionCost, limit: int
 ) -> list[PricedCell]:
+    """Price cells in the order of the workers until there are ``limit``."""
     position = size_index(size)
     priced: list[PricedCell] = []
     for worker in workers:
@@ -182,6 +202,8 @@
             found = _price_cell(worker, cell, cost_of)
             if found is not None:
                 priced.append(found)
+        if len(priced) >= limit:
+            break
     return priced
 
 
@@ -228,8 +250,9 @@
     if not owned or not _may_claim(owned, spec, size):
         return None
     best: ClaimPlan | None = None
-    for scope in find_scopes(index, spec.adjacency):
-        if scope.counts.soft[size_index(size)] < spec.tasks:
+    position = size_index(size)
+    for scope in _claim_scopes(index, owned, spec, size):
+        if scope.counts.soft[position] < spec.tasks:
             continue
         plan = _claim_in_scope(scope, ledger, spec, size, cost_of)
         if plan is None:
@@ -241,6 +264,30 @@
     return best
 
 
+def _claim_scopes(
+    index: CellIndex, owned: list[GuaranteedCell], spec: JobSpec, size: int
+) -> Iterator[Scope]:
+    """Yield the scopes in which the customer holds or may bind cells."""
+    if spec.adjacency is Adjacency.ZONE:
+        yield Scope(index.most_idle_workers(), index.counts)
+        return
+    bound_on = {cell.bound.worker_id for cell in owned if cell.bound}
+    free = [cell.size for cell in owned if not cell.bound]
+    free = [cell_size for cell_size in free if cell_size >= size]
+    smallest = size_index(min(free)) if free else None
+    bindable = 0
+    for scope in find_scopes(index, spec.adjacency):
+        may_bind = (
+            smallest is not None and scope.counts.unclaimed[smallest] > 0
+        )
+        names = (worker.spec.worker_id for worker in scope.workers)
+        if not bound_on.isdisjoint(names):
+            yield scope
+        elif may_bind and bindable < PRICED_SCOPES:
+            bindable += 1
+            yield scope
+
+
 def _may_claim(owned: list[GuaranteedCell], spec: JobSpec, size: int) -> bool:
     room = 0
     for cell in owned:
@@ -370,6 +417,8 @@
             cost += sum(1 for item in inner if not item.holders) / 1000
             cost += _free_around(worker, cell, set()) / 100
             found.append(PricedCell(cost, cell, set()))
+        if len(found) >= max(PRICED_CELLS, 4 * tasks):
+            break
     found.sort(key=lambda item: item.cost)
     return found
 
--- a/hickorywing/policy/scheduler.py
+++ b/hickorywing/policy/scheduler.py
@@ -56,9 +56,13 @@
 __all__ = ["JobState", "JobView", "SchedulerOptions", "ZoneScheduler"]
 
 STARVING_AFTER_S = 4 * 3600.0
-OPEN_AFTER_S = 300.0
+OPEN_AFTER_S = 60.0
+OPEN_AGAIN_S = 10.0
+SEARCH_AGAIN_S = 1.0
+SEARCHES_PER_DECISION = 2
 MAX_ATTEMPT_FAILURES = 4
 SCAN_LIMIT = 256
+CHECKED_SHAPES = 4096
 MAX_DISPLACED_SHARE = 0.75
 MAX_DISPLACED_TIMES = 3
 
@@ -93,6 +97,9 @@
     displaced: int = 0
     displacing: str = ""
     displacements: int = 0
+    searched_changes: int = -1
+    search_at: float = 0.0
+    open_at: float = 0.0
 
     @property
     def guaranteed(self) -> bool:
@@ -131,6 +138,9 @@
         self._share_cores = float("inf")
         self._share_memory = float("inf")
         self._jobs_on: dict[str, set[str]] = {}
+        self.has_more = False
+        self._searches = 0
+        self._checked: dict[object, Refusal | None] = {}
 
     # Inventory and rules
 
@@ -192,6 +202,7 @@
 
     def _capacity_changed(self) -> None:
         """Take the shortfall of new capacity or rules as the new bound."""
+        self._checked.clear()
         self.allowed_shortfall = self.ledger.potential_shortfall()
 
     def risks(self) -> list[Risk]:
@@ -207,6 +218,20 @@
             refusal = self._check_quota(spec, customer)
             if refusal is not None:
                 return refusal
+        shape = (
+            spec.tasks,
+            spec.accelerators,
+            spec.cores,
+            spec.memory_gb,
+            spec.adjacency,
+        )
+        if shape not in self._checked:
+            if len(self._checked) >= CHECKED_SHAPES:
+                self._checked.clear()
+            self._checked[shape] = self._check_shape(spec)
+        return self._checked[shape]
+
+    def _check_shape(self, spec: JobSpec) -> Refusal | None:
         if spec.accelerators == 0:
             return self._check_cores(spec)
         return self._check_cells(spec, self._cell_size(spec))
@@ -453,13 +478,19 @@
     # Decisions
 
     def decide(self, now: float) -> list[Action]:
-        """Return the starts and evictions that are due at ``now`` seconds."""
+        """Return the starts and evictions that are due at ``now`` seconds.
+
+        The work of one call is bounded; ``has_more`` tells that jobs were
+        left over and that another call soon may place more.
+        """
         for worker_id in self.quarantine.release_due(now):
             if worker_id in self.cells.workers:
                 self.restore_worker(worker_id)
         if not self.zone_in:
             return []
         short_before = self.ledger.shortfall()
+        self.has_more = False
+        self._searches = 0
         actions: list[Action] = []
         failed: dict[tuple[str, int, Adjacency, bool], int] = {}
         scanned = 0
@@ -503,6 +534,25 @@
         if idle is not None:
             self._place(job, EvictionPlan(idle), None, now, actions)
             return True
+        if self._try_claim(job, now, actions):
+            return True
+        return self._try_eviction(job, now, actions)
+
+    def _try_claim(
+        self, job: JobView, now: float, actions: list[Action]
+    ) -> bool:
+        """Start a job inside its customer's guarantee.
+
+        A search that failed is repeated when a guarantee has changed hands,
+        or after ``SEARCH_AGAIN_S``.
+        """
+        if job.spec.customer not in self.ledger.cells:
+            return False
+        same = job.searched_changes == self.ledger.changes
+        if same and now < job.search_at:
+            return False
+        if not self._may_search(job):
+            return False
         claim = find_claim(
             self.cells,
             self.ledger,
@@ -510,11 +560,23 @@
             job.cell_size,
             self._cost_for_claim,
         )
-        if claim is not None:
-            self._apply_claim(job, claim)
-            self._place(job, claim, EvictReason.RECLAIM, now, actions)
+        if claim is None:
+            job.searched_changes = self.ledger.changes
+            job.search_at = now + SEARCH_AGAIN_S
+            return False
+        self._apply_claim(job, claim)
+        self._place(job, claim, EvictReason.RECLAIM, now, actions)
+        return True
+
+    def _may_search(self, job: JobView) -> bool:
+        """Count a search over many cells against this decision's limit."""
+        if job.spec.urgent:
             return True
-        return self._try_eviction(job, now, actions)
+        if self._searches >= SEARCHES_PER_DECISION:
+            self.has_more = True
+            return False
+        self._searches += 1
+        return True
 
     def _find_idle(self, job: JobView) -> list[Cell] | None:
         if self.options.first_fit:
@@ -630,7 +692,7 @@
     def _may_open_cells(self, job: JobView, now: float) -> bool:
         if not self.options.migrate or not self.options.checkpoint:
             return False
-        if now - job.waiting_since < OPEN_AFTER_S:
+        if now - job.waiting_since < OPEN_AFTER_S or now < job.open_at:
             return False
         wanted = job.cell_size * job.spec.tasks
         least_idle = wanted * (1.0 - MAX_DISPLACED_SHARE)
@@ -646,6 +708,9 @@
         ``MAX_DISPLACED_SHARE`` of what the waiting job then holds, so that
         each such step puts more accelerators to work.
         """
+        if not self._may_search(job):
+            return False
+        job.open_at = now + OPEN_AGAIN_S
         plan = find_evictable(
             self.cells, job.spec, job.cell_size, self._cost_to_displace
         )
--- a/tools/zonefake.py
+++ b/tools/zonefake.py
@@ -35,6 +35,7 @@
 __all__ = ["FakeJob", "FakeSystem", "Site", "Tally"]
 
 START_S = 0.4
+TICK_S = 0.1
 CHECKPOINT_S = 1.5
 RESUME_COST_S = 20.0
 SAMPLE_EVERY_S = 60.0
@@ -266,7 +267,9 @@
             raise
         if self.clock:
             self.tally.decisions_s.append(self.clock() - began)
-        for view in scheduler.jobs.values():
+        if scheduler.has_more:
+            self.at(self.now + TICK_S, lambda: self._dirty.add(zone))
+        for view in scheduler._clearing():
             if view.state is JobState.CLEARING:
                 self._clearing.setdefault(view.spec.job_id, self.now)
         self._perform(zone, actions)
