Run real agents and entries over a faulty network in virtual time

Cause: kills, cuts and table faults were untested together. Change: agents and entries take their table, mailbox and worker as arguments, so the same code runs over fakes with virtual time; a history of what workers ran is checked for overlapping attempts, broken gangs, starts in a zone that is out, versions that go back and second terminal states.

--- a/hickorywing/agent.py
+++ b/hickorywing/agent.py
@@ -23,6 +23,7 @@
 from hickorywing.dispatch import DispatchServer
 from hickorywing.dispatch import RevokeAnswer
 from hickorywing.dispatch import RevokeRequest
+from hickorywing.mailbox import Mailbox
 from hickorywing.mailbox import PynngMailbox
 from hickorywing.members import MemberRunner
 from hickorywing.messages import AgentInfo
@@ -44,10 +45,12 @@
 from hickorywing.settings import AgentSettings
 from hickorywing.settings import read_settings
 from hickorywing.table import HttpTable
+from hickorywing.table import Table
 from hickorywing.timeline import Timeline
 from hickorywing.web import answer_json
 from hickorywing.web import WebServer
 from hickorywing.workers import HttpWorker
+from hickorywing.workers import Worker
 from hickorywing.zonecontroller import ZoneController
 
 __all__ = ["Agent", "main"]
@@ -57,19 +60,25 @@
 
 
 class Agent:
-    """All parts of one agent, wired together."""
-
-    def __init__(self, settings: AgentSettings) -> None:
+    """All parts of one agent, wired together over what it is given."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        incarnation: int,
+        table: Table,
+        mailbox: Mailbox,
+        worker: Worker | None,
+        metrics: Metrics,
+    ) -> None:
         self.settings = settings
-        self.incarnation = time.time_ns() // 1_000_000
+        self.incarnation = incarnation
         self.clock = asyncio.get_running_loop().time
-        self.metrics = Metrics(settings.name)
+        self.metrics = metrics
         self.timeline = Timeline(settings.name)
         self.register = ConfigurationRegister()
-        self.table = HttpTable(settings.table)
-        self.mailbox = PynngMailbox(
-            settings.name, settings.control, self.metrics, settings.tls
-        )
+        self.table = table
+        self.mailbox = mailbox
         self.leaving = False
         self.service = ""
         self._backend_seen_at = float("-inf")
@@ -85,7 +94,7 @@
             self._refusal,
             lambda: self.register.head.version,
         )
-        self.members = self._make_members()
+        self.members = self._make_members(worker)
         self.controller = ZoneController(
             settings.zone,
             f"{settings.name}#{self.incarnation}",
@@ -97,17 +106,15 @@
             self.metrics,
             random.Random(self.incarnation),
         )
-        self.web = WebServer(self._make_app(), settings.listen)
 
-    def _make_members(self) -> MemberRunner | None:
-        worker = self.settings.worker
-        if worker is None:
+    def _make_members(self, worker: Worker | None) -> MemberRunner | None:
+        if worker is None or self.settings.worker is None:
             return None
         permit = MemberPermit(self.settings.zone, self.register)
         return MemberRunner(
-            worker.id,
+            self.settings.worker.id,
             self.incarnation,
-            HttpWorker(worker.url),
+            worker,
             permit,
             self.mailbox,
             self.timeline,
@@ -117,7 +124,8 @@
 
     # HTTP
 
-    def _make_app(self) -> Application:
+    def make_app(self) -> Application:
+        """Return the HTTP interface of this agent."""
         app = Application()
         router = app.router
 
@@ -233,7 +241,7 @@
             settings.zone,
             self.incarnation,
             self.mailbox.address,
-            self.web.address,
+            settings.listen,
             self.service if fresh else "",
             limits.slots if limits else 0,
             limits.connections if limits else 0,
@@ -269,9 +277,8 @@
 
     # Life
 
-    async def run(self) -> None:
-        """Serve until a signal comes, then leave without cutting work."""
-        await self.web.start()
+    async def start(self) -> list[asyncio.Task[None]]:
+        """Clear the worker, then start everything but the HTTP listener."""
         if self.members is not None:
             await self.members.clear_worker()
         await self._read_first_head()
@@ -279,14 +286,21 @@
         tasks = [
             asyncio.create_task(self.mailbox.run(self._handle)),
             asyncio.create_task(self._beat_forever()),
+            asyncio.create_task(self._run_controller()),
         ]
         if self.members is not None:
             tasks.append(asyncio.create_task(self.members.watch()))
-        controller = asyncio.create_task(self._run_controller())
+        return tasks
+
+    async def run(self) -> None:
+        """Serve until a signal comes, then leave without cutting work."""
+        web = WebServer(self.make_app(), self.settings.listen)
+        await web.start()
+        tasks = await self.start()
         await wait_for_stop()
-        await self._leave(controller)
+        await self.leave()
         await cancel_tasks(tasks)
-        await self.web.stop()
+        await web.stop()
         self.mailbox.close()
         await self.table.close()
 
@@ -302,7 +316,7 @@
             return
         self.register.adopt(read.head, float("-inf"))
 
-    async def _leave(self, controller: asyncio.Task[None]) -> None:
+    async def leave(self) -> None:
         """Say so, refuse new work, finish what is in progress."""
         self.timeline.record("agent leaving", self.settings.name)
         self.leaving = True
@@ -312,7 +326,6 @@
         await asyncio.sleep(self.settings.drain_notice_s)
         await self.dispatches.drain()
         await self._drain_members()
-        await cancel_tasks([controller])
         await self.controller.stop()
         self.timeline.record("agent left", self.settings.name)
 
@@ -335,7 +348,18 @@
 
 async def run_agent(path: Path) -> None:
     """Run an agent from its settings file."""
-    await Agent(read_settings(path, AgentSettings)).run()
+    settings = read_settings(path, AgentSettings)
+    metrics = Metrics(settings.name)
+    worker = HttpWorker(settings.worker.url) if settings.worker else None
+    agent = Agent(
+        settings,
+        time.time_ns() // 1_000_000,
+        HttpTable(settings.table),
+        PynngMailbox(settings.name, settings.control, metrics, settings.tls),
+        worker,
+        metrics,
+    )
+    await agent.run()
 
 
 def main() -> None:
--- a/hickorywing/configapi.py
+++ b/hickorywing/configapi.py
@@ -1,6 +1,5 @@
 """The HTTP interface for operators: inventory, rules, zones, draining."""
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -22,8 +21,6 @@
 from hickorywing.jobapi import table_problem
 from hickorywing.messages import Head
 from hickorywing.metrics import Metrics
-from hickorywing.policy.register import ACCEPT_WITHIN_S
-from hickorywing.policy.register import silence_to_wait_s
 from hickorywing.rules import check_rules
 from hickorywing.table import Conflict
 from hickorywing.table import TableUnavailable
@@ -38,7 +35,6 @@
 __all__ = ["ConfigurationApi"]
 
 CHANGE_RETRY_S = 5.0
-SETTLE_CHECK_S = 0.02
 
 
 class ChangeAnswer(msgspec.Struct):
@@ -215,23 +211,16 @@
     async def _wait_in_force(
         self, version: int, zone_to_stop: str | None
     ) -> Response:
-        """Wait for confirmations; for a zone out, until it is safe."""
-        clock = self.watch.clock
-        started = clock()
-        limit = ACCEPT_WITHIN_S
-        if zone_to_stop is not None:
-            limit = silence_to_wait_s()
-        missing = self.watch.missing(version, zone_to_stop)
-        while missing and clock() - started < limit:
-            await asyncio.sleep(SETTLE_CHECK_S)
-            missing = self.watch.missing(version, zone_to_stop)
+        """Answer once a change is in force."""
+        began = self.watch.clock()
+        missing = await self.watch.wait_in_force(version, zone_to_stop)
         return answer_json(
             200,
             ChangeAnswer(
                 version,
                 self.watch.confirmed(version),
                 missing,
-                round(clock() - started, 3),
+                round(self.watch.clock() - began, 3),
             ),
         )
 
--- a/hickorywing/configwatch.py
+++ b/hickorywing/configwatch.py
@@ -11,8 +11,10 @@
 from hickorywing.messages import Head
 from hickorywing.messages import HeadPush
 from hickorywing.metrics import Metrics
+from hickorywing.policy.register import ACCEPT_WITHIN_S
 from hickorywing.policy.register import ConfigurationHead
 from hickorywing.policy.register import ConfigurationRegister
+from hickorywing.policy.register import silence_to_wait_s
 from hickorywing.table import TableUnavailable
 from hickorywing.timeline import Timeline
 
@@ -20,6 +22,7 @@
 
 MAX_READS_AT_ONCE = 8
 PUSH_AGAIN_S = 0.5
+SETTLE_CHECK_S = 0.02
 
 
 class ConfigurationWatch:
@@ -135,6 +138,24 @@
             name for name, seen in self._seen.items() if seen >= version
         )
 
+    async def wait_in_force(
+        self, version: int, zone_to_stop: str | None
+    ) -> list[str]:
+        """Wait for confirmations; return who has not confirmed.
+
+        When a zone was taken out, this waits until no process can start a
+        task there ``ACCEPT_WITHIN_S`` later, confirmed or not.
+        """
+        limit = ACCEPT_WITHIN_S
+        if zone_to_stop is not None:
+            limit = silence_to_wait_s()
+        deadline = self.clock() + limit
+        missing = self.missing(version, zone_to_stop)
+        while missing and self.clock() < deadline:
+            await asyncio.sleep(SETTLE_CHECK_S)
+            missing = self.missing(version, zone_to_stop)
+        return missing
+
     def missing(self, version: int, zone: str | None) -> list[str]:
         """Return the processes that have not confirmed a version.
 
--- a/hickorywing/entry.py
+++ b/hickorywing/entry.py
@@ -33,6 +33,7 @@
 from hickorywing.jobapi import forbid
 from hickorywing.jobapi import JobApi
 from hickorywing.keyed import KeyedRequests
+from hickorywing.mailbox import Mailbox
 from hickorywing.mailbox import PynngMailbox
 from hickorywing.messages import AgentInfo
 from hickorywing.messages import ControllerHello
@@ -61,6 +62,7 @@
 from hickorywing.settings import EntrySettings
 from hickorywing.settings import read_settings
 from hickorywing.table import HttpTable
+from hickorywing.table import Table
 from hickorywing.timeline import Event
 from hickorywing.timeline import merge_events
 from hickorywing.timeline import Timeline
@@ -112,18 +114,23 @@
 
 
 class Entry:
-    """All parts of one entry, wired together."""
-
-    def __init__(self, settings: EntrySettings) -> None:
+    """All parts of one entry, wired together over what it is given."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        incarnation: int,
+        table: Table,
+        mailbox: Mailbox,
+        metrics: Metrics,
+    ) -> None:
         self.settings = settings
-        self.incarnation = time.time_ns() // 1_000_000
+        self.incarnation = incarnation
         self.clock = asyncio.get_running_loop().time
-        self.metrics = Metrics(settings.name)
+        self.metrics = metrics
         self.timeline = Timeline(settings.name)
-        self.table = HttpTable(settings.table)
-        self.mailbox = PynngMailbox(
-            settings.name, settings.control, self.metrics, settings.tls
-        )
+        self.table = table
+        self.mailbox = mailbox
         self.membership = Membership()
         self.agents: dict[str, AgentInfo] = {}
         self.controllers: dict[str, ControllerHello] = {}
@@ -152,11 +159,11 @@
             self.timeline,
             self.clock,
         )
-        self.web = WebServer(self._make_app(), settings.listen)
 
     # HTTP
 
-    def _make_app(self) -> Application:
+    def make_app(self) -> Application:
+        """Return the HTTP interface of this entry."""
         app = Application()
         install_filters(
             app,
@@ -477,7 +484,7 @@
                 self.settings.zone,
                 self.incarnation,
                 self.mailbox.address,
-                self.web.address,
+                self.settings.listen,
                 role="entry",
             )
             beat = Heartbeat(
@@ -494,21 +501,26 @@
 
     # Life
 
-    async def run(self) -> None:
-        """Serve until a signal comes, then leave without cutting work."""
-        tasks = [
+    def start(self) -> list[asyncio.Task[None]]:
+        """Start everything but the HTTP listener."""
+        self.timeline.record("entry started", self.settings.name)
+        return [
             asyncio.create_task(self.mailbox.run(self._handle)),
             asyncio.create_task(self.watch.run()),
             asyncio.create_task(self._expire_forever()),
             asyncio.create_task(self._beat_forever()),
         ]
-        await self.web.start()
-        self.timeline.record("entry started", self.settings.name)
+
+    async def run(self) -> None:
+        """Serve until a signal comes, then leave without cutting work."""
+        web = WebServer(self.make_app(), self.settings.listen)
+        tasks = self.start()
+        await web.start()
         await wait_for_stop()
         self.timeline.record("entry leaving", self.settings.name)
         self.leaving = True
         await asyncio.sleep(self.settings.drain_notice_s)
-        await self.web.stop()
+        await web.stop()
         await self.keyed.finish(SETTLE_PATIENCE_S)
         await cancel_tasks(tasks)
         await self.router.close()
@@ -525,7 +537,16 @@
 
 async def run_entry(path: Path) -> None:
     """Run an entry from its settings file."""
-    await Entry(read_settings(path, EntrySettings)).run()
+    settings = read_settings(path, EntrySettings)
+    metrics = Metrics(settings.name)
+    entry = Entry(
+        settings,
+        time.time_ns() // 1_000_000,
+        HttpTable(settings.table),
+        PynngMailbox(settings.name, settings.control, metrics, settings.tls),
+        metrics,
+    )
+    await entry.run()
 
 
 def main() -> None:
--- a/hickorywing/mailbox.py
+++ b/hickorywing/mailbox.py
@@ -48,6 +48,10 @@
     async def run(self, handler: Handler) -> None:
         """Hand every received message to the handler until cancelled."""
 
+    @abstractmethod
+    def close(self) -> None:
+        """Close all links; what they have queued is lost."""
+
 
 class PynngMailbox(Mailbox):
     """Push and pull sockets: one inbox, one link for each peer.
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,199 @@
+"""Real agents and entries over a faulty network, in virtual time."""
+
+import asyncio
+import contextlib
+import random
+
+import looptime
+from protocolfake import ProtocolSystem
+import pytest
+
+WORKERS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+JOBS = 12
+CHAOS_S = 240.0
+CALM_S = 900.0
+
+
+def run_virtual(work) -> None:
+    """Run a coroutine on a loop whose time is virtual."""
+    loop = looptime.new_event_loop(end=100_000, noop_cycles=0)
+    try:
+        loop.run_until_complete(work)
+    finally:
+        loop.close()
+
+
+async def wait_for_all(system: ProtocolSystem, timeout_s: float) -> None:
+    clock = asyncio.get_running_loop().time
+    deadline = clock() + timeout_s
+    while True:
+        if system.error is not None:
+            raise system.error
+        statuses = await system.job_statuses()
+        if all(status.is_terminal for status in statuses.values()):
+            return
+        if clock() > deadline:
+            raise TimeoutError(f"jobs never ended: {statuses}")
+        await asyncio.sleep(0.5)
+
+
+def calm(system: ProtocolSystem) -> None:
+    system.network.loss = 0.0
+    system.network.doubled = 0.0
+    system.network.late = 0.0
+    system.network.cut.clear()
+    system.table.faults.down = False
+    system.table.faults.delay_s = 0.0
+    system.table.faults.lose_answers = 0
+
+
+async def disturb(system: ProtocolSystem, source: random.Random) -> None:
+    """Do one random bad thing."""
+    names = list(system.nodes)
+    choice = source.randrange(9)
+    if choice == 0:
+        await system.kill(source.choice(names))
+    elif choice == 1:
+        system.isolate(source.choice(names), source.random() < 0.5)
+    elif choice == 2:
+        system.table.faults.down = True
+    elif choice == 3:
+        system.table.faults.delay_s = source.uniform(1.0, 5.0)
+    elif choice == 4:
+        system.table.faults.lose_answers = source.randint(1, 5)
+    elif choice == 5:
+        system.network.loss = source.uniform(0.0, 0.4)
+        system.network.doubled = source.uniform(0.0, 0.3)
+    elif choice == 6:
+        system.network.late = source.uniform(0.0, 0.2)
+    elif choice == 7:
+        calm(system)
+    else:
+        zone = source.choice(system.zones)
+        await system.set_zone(zone, source.random() < 0.5)
+
+
+async def restart_missing(system: ProtocolSystem) -> None:
+    for number in (0, 1):
+        if f"entry-{number + 1}" not in system.nodes:
+            await system.start_entry(number)
+    for worker_id in system.workers:
+        if f"agent-{worker_id}" not in system.nodes:
+            await system.start_agent(worker_id)
+
+
+@contextlib.asynccontextmanager
+async def make_system(seed: int):
+    system = ProtocolSystem(seed, WORKERS)
+    try:
+        await system.start()
+        yield system
+    finally:
+        await system.stop()
+
+
+async def run_chaos(seed: int) -> None:
+    async with make_system(seed) as system:
+        await make_chaos(system, seed)
+
+
+async def make_chaos(system: ProtocolSystem, seed: int) -> None:
+    source = random.Random(seed)
+    clock = asyncio.get_running_loop().time
+    submits = [
+        asyncio.create_task(submit_later(system, source, number))
+        for number in range(JOBS)
+    ]
+    until = clock() + CHAOS_S
+    while clock() < until:
+        await asyncio.sleep(source.uniform(1.0, 20.0))
+        await disturb(system, source)
+        if source.random() < 0.5:
+            await restart_missing(system)
+        if system.error is not None:
+            raise system.error
+    calm(system)
+    await restart_missing(system)
+    for zone in system.zones:
+        await bring_back(system, zone)
+    await asyncio.gather(*submits)
+    await wait_for_all(system, CALM_S)
+
+
+async def bring_back(system: ProtocolSystem, zone: str) -> None:
+    for _ in range(100):
+        if await system.set_zone(zone, True):
+            return
+        await asyncio.sleep(1.0)
+    raise TimeoutError(f"{zone} did not come back")
+
+
+async def submit_later(
+    system: ProtocolSystem, source: random.Random, number: int
+) -> None:
+    await asyncio.sleep(source.uniform(0.0, CHAOS_S))
+    tasks = source.choice([1, 2, 2, 3])
+    await system.submit(f"north.j{number}", tasks, source.choice([0, 4, 8, 8]))
+    if source.random() < 0.2:
+        await asyncio.sleep(source.uniform(0.0, 30.0))
+        await system.cancel(f"north.j{number}")
+
+
+class TestChaos:
+    @pytest.mark.parametrize("seed", range(1, 9))
+    def test_promises_hold_and_jobs_end(self, seed):
+        run_virtual(run_chaos(seed))
+
+
+class TestQuietSystem:
+    def test_gangs_finish(self):
+        async def work() -> None:
+            async with make_system(1) as system:
+                for number in range(6):
+                    await system.submit(f"north.q{number}", 2, 8)
+                await wait_for_all(system, 600.0)
+                statuses = await system.job_statuses()
+                assert set(statuses.values()) == {"done"}
+
+        run_virtual(work())
+
+
+class TestSlowTable:
+    def test_gangs_start_and_zone_changes_hold(self):
+        async def work() -> None:
+            async with make_system(2) as system:
+                await asyncio.sleep(15.0)
+                system.table.faults.delay_s = 5.0
+                for number in range(4):
+                    await system.submit(f"north.s{number}", 2, 8)
+                await asyncio.sleep(20.0)
+                assert await system.set_zone("a", False)
+                await asyncio.sleep(30.0)
+                assert await system.set_zone("a", True)
+                await wait_for_all(system, 900.0)
+                assert system.error is None
+
+        run_virtual(work())
+
+
+class TestTableOutage:
+    def test_running_work_survives_an_hour(self):
+        async def work() -> None:
+            async with make_system(3) as system:
+                await asyncio.sleep(15.0)
+                await system.submit("north.long", 2, 8)
+                row = system.table.rows["job/north.long"]
+                value = dict(row.value, run_s=5000.0)
+                system.table.rows["job/north.long"] = type(row)(
+                    row.key, value, row.version, row.nonce
+                )
+                await asyncio.sleep(15.0)
+                assert (await system.job_statuses())["north.long"] == "started"
+                system.table.faults.down = True
+                await asyncio.sleep(3600.0)
+                system.table.faults.down = False
+                await wait_for_all(system, 4000.0)
+                runs = system.history.runs.values()
+                assert {run.launch.attempt for run in runs} == {1}
+
+        run_virtual(work())
--- /dev/null
+++ b/tools/protocolfake.py
@@ -0,0 +1,546 @@
+"""Run real agents and entries over a fake network, table and workers.
+
+Everything shares one event loop, whose time can be virtual. The network loses,
+delays, doubles and cuts messages; the table is slow, down or loses answers;
+agents die and come back. A history of what the workers really ran is checked
+against the promises.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import random
+import time
+
+from hickorywing.agent import Agent
+from hickorywing.configuration import ConfigurationStore
+from hickorywing.configuration import HeadRead
+from hickorywing.entry import Entry
+from hickorywing.errors import InvariantViolation
+from hickorywing.jobs import inbox_key
+from hickorywing.jobs import job_key
+from hickorywing.jobs import JobRow
+from hickorywing.jobs import JobStatus
+from hickorywing.mailbox import Handler
+from hickorywing.mailbox import Mailbox
+from hickorywing.messages import AnyMessage
+from hickorywing.messages import decode_message
+from hickorywing.messages import encode_message
+from hickorywing.messages import Envelope
+from hickorywing.metrics import Metrics
+from hickorywing.policy.model import Adjacency
+from hickorywing.settings import AgentSettings
+from hickorywing.settings import EntrySettings
+from hickorywing.standins.tables import MemoryTable
+from hickorywing.standins.workers import WorkerTasks
+from hickorywing.table import Check
+from hickorywing.table import commit_surely
+from hickorywing.table import Committed
+from hickorywing.table import new_nonce
+from hickorywing.table import Transaction
+from hickorywing.table import Write
+from hickorywing.workers import TaskLaunch
+from hickorywing.workers import TaskNames
+from hickorywing.workers import TaskState
+from hickorywing.workers import TaskStatuses
+from hickorywing.workers import Worker
+
+__all__ = ["FakeNetwork", "FakeWorker", "History", "ProtocolSystem"]
+
+SWEEP_S = 0.05
+START_BOUND_S = 3.0
+GANG_BOUND_S = 45.0
+URL = "http://127.0.0.1:1"
+
+
+@dataclass
+class FakeNetwork:
+    """Delivers frames late, twice or never."""
+
+    source: random.Random
+    loss: float = 0.0
+    doubled: float = 0.0
+    late: float = 0.0
+    cut: set[tuple[str, str]] = field(default_factory=set)
+    boxes: dict[str, "FakeMailbox"] = field(default_factory=dict)
+
+    def carry(self, sender: str, address: str, frame: bytes) -> None:
+        """Take one frame for delivery."""
+        source = self.source
+        copies = 2 if source.random() < self.doubled else 1
+        for _ in range(copies):
+            if source.random() < self.loss:
+                continue
+            delay = source.uniform(0.0005, 0.01)
+            if source.random() < self.late:
+                delay = source.uniform(0.5, 12.0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._deliver, sender, address, frame)
+
+    def _deliver(self, sender: str, address: str, frame: bytes) -> None:
+        box = self.boxes.get(address)
+        if box is not None and (sender, address) not in self.cut:
+            box.frames.put_nowait(frame)
+
+
+class FakeMailbox(Mailbox):
+    """A mailbox on a fake network."""
+
+    def __init__(self, name: str, address: str, network: FakeNetwork) -> None:
+        self.name = name
+        self.address = address
+        self.network = network
+        self.frames: asyncio.Queue[bytes] = asyncio.Queue()
+        network.boxes[address] = self
+
+    def send(self, address: str, body: AnyMessage) -> None:
+        """Send a message over the fake network."""
+        frame = encode_message(Envelope(self.name, self.address, body))
+        self.network.carry(self.address, address, frame)
+
+    async def run(self, handler: Handler) -> None:
+        """Hand every frame to the handler until cancelled."""
+        while True:
+            frame = await self.frames.get()
+            handler(decode_message(frame).unwrap())
+
+    def close(self) -> None:
+        """Leave the network."""
+        if self.network.boxes.get(self.address) is self:
+            del self.network.boxes[self.address]
+
+
+@dataclass
+class Run:
+    """One task as a worker really ran it."""
+
+    worker_id: str
+    zone: str
+    launch: TaskLaunch
+    began: float
+    ended: float | None = None
+    state: TaskState = TaskState.RUNNING
+
+
+@dataclass
+class ZoneOut:
+    """A zone from the accepted change until the next one was begun."""
+
+    zone: str
+    accepted: float
+    ended: float | None = None
+
+
+class FakeWorker(Worker):
+    """A worker in this process whose clock is the loop's."""
+
+    def __init__(self, worker_id: str, zone: str, history: "History") -> None:
+        self.worker_id = worker_id
+        self.zone = zone
+        self.history = history
+        self.tasks = WorkerTasks()
+        self.slow_calls_s = 0.0
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(self.slow_calls_s)
+
+    async def start(self, launch: TaskLaunch) -> None:
+        """Start a task and note it."""
+        await self._pause()
+        if launch.task_id not in self.tasks.tasks:
+            self.history.note_start(self, launch, self._now())
+        self.tasks.start(launch, self._now())
+
+    async def renew(self, names: TaskNames) -> TaskStatuses:
+        """Renew leases and return all states."""
+        await self._pause()
+        self.sweep()
+        self.tasks.renew(names, self._now())
+        return self.tasks.statuses()
+
+    async def stop(self, names: TaskNames) -> TaskStatuses:
+        """Stop tasks and return all states."""
+        await self._pause()
+        self.tasks.stop(names, self._now())
+        self.sweep()
+        return self.tasks.statuses()
+
+    async def forget(self, names: TaskNames) -> None:
+        """Drop ended tasks."""
+        self.sweep()
+        self.tasks.forget(names)
+
+    def sweep(self) -> None:
+        """End tasks that are over and note it."""
+        self.tasks.sweep(self._now())
+        for task in self.tasks.tasks.values():
+            if task.state is not TaskState.RUNNING:
+                self.history.note_end(
+                    task.launch.task_id, task.state, self._now()
+                )
+
+
+class History:
+    """What really ran, checked against the promises."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, Run] = {}
+        self.zones_out: list[ZoneOut] = []
+        self.gangs: dict[str, int] = {}
+        self.versions: dict[str, int] = {}
+        self.terminal: dict[str, str] = {}
+
+    def note_start(
+        self, worker: FakeWorker, launch: TaskLaunch, now: float
+    ) -> None:
+        """Check a start against everything that runs."""
+        if launch.task_id in self.runs:
+            raise InvariantViolation(f"{launch.task_id} started twice")
+        for out in self.zones_out:
+            over = out.ended is not None and out.ended <= now
+            late = now > out.accepted + START_BOUND_S
+            if out.zone == worker.zone and late and not over:
+                raise InvariantViolation(
+                    f"{launch.task_id} started {now - out.accepted:.2f} s"
+                    f" after {worker.zone} was out"
+                )
+        for run in self.runs.values():
+            if run.launch.job_id != launch.job_id or run.ended is not None:
+                continue
+            if run.launch.attempt != launch.attempt:
+                raise InvariantViolation(
+                    f"{launch.task_id} started beside {run.launch.task_id}"
+                )
+        self.runs[launch.task_id] = Run(
+            worker.worker_id, worker.zone, launch, now
+        )
+
+    def note_end(self, task_id: str, state: TaskState, now: float) -> None:
+        """Note the end of a task."""
+        run = self.runs.get(task_id)
+        if run is not None and run.ended is None:
+            run.ended = now
+            run.state = state
+
+    def check_gangs(self, now: float) -> None:
+        """Raise when part of a gang ran alone for longer than the bound."""
+        attempts: dict[tuple[str, int], list[Run]] = {}
+        for run in self.runs.values():
+            key = (run.launch.job_id, run.launch.attempt)
+            attempts.setdefault(key, []).append(run)
+        for (job_id, attempt), runs in attempts.items():
+            self._check_attempt(job_id, attempt, runs, now)
+
+    def _check_attempt(
+        self, job_id: str, attempt: int, runs: list[Run], now: float
+    ) -> None:
+        size = self.gangs[job_id]
+        live = [run for run in runs if run.ended is None]
+        if not live:
+            return
+        broken_at = min(
+            (
+                run.ended
+                for run in runs
+                if run.ended is not None and run.state is not TaskState.DONE
+            ),
+            default=None,
+        )
+        if len(runs) < size:
+            first = min(run.began for run in runs)
+            broken_at = first if broken_at is None else min(broken_at, first)
+        if broken_at is not None and now - broken_at > GANG_BOUND_S:
+            raise InvariantViolation(
+                f"{len(live)} of {size} tasks of {job_id}/{attempt} ran on"
+                f" {now - broken_at:.1f} s after the gang was broken"
+            )
+
+    def note_version(self, process: str, version: int) -> None:
+        """Check that a process's configuration never goes back."""
+        if version < self.versions.get(process, 0):
+            raise InvariantViolation(f"{process} went back to {version}")
+        self.versions[process] = version
+
+    def note_terminal(self, job_id: str, status: str) -> None:
+        """Check that a job has one terminal state."""
+        known = self.terminal.setdefault(job_id, status)
+        if known != status:
+            raise InvariantViolation(f"{job_id} was {known}, is {status}")
+
+
+@dataclass
+class Node:
+    """One process of the system as tasks of this loop."""
+
+    name: str
+    tasks: list[asyncio.Task[None]]
+    mailbox: FakeMailbox
+    part: Agent | Entry
+
+
+class ProtocolSystem:
+    """Two entries and a worker agent for each worker."""
+
+    def __init__(self, seed: int, workers: dict[str, str]) -> None:
+        self.source = random.Random(seed)
+        self.network = FakeNetwork(random.Random(seed + 1))
+        self.table = MemoryTable()
+        self.history = History()
+        self.workers = {
+            worker_id: FakeWorker(worker_id, zone, self.history)
+            for worker_id, zone in workers.items()
+        }
+        self.nodes: dict[str, Node] = {}
+        self.entries = ("127.0.0.1:1001", "127.0.0.1:1002")
+        self._incarnation = 0
+        self._background: list[asyncio.Task[None]] = []
+        self.error: BaseException | None = None
+
+    @property
+    def zones(self) -> list[str]:
+        """Return the zones of the workers."""
+        return sorted({worker.zone for worker in self.workers.values()})
+
+    async def start(self) -> None:
+        """Load an inventory and start every process."""
+        store = ConfigurationStore(self.table)
+        base = HeadRead((await store.read_head()).head, 0)
+        from hickorywing.inventory import InventoryModel
+
+        inventory = InventoryModel.model_validate(
+            {
+                "regions": [{"name": "r", "zones": self.zones}],
+                "workers": [
+                    {
+                        "id": worker_id,
+                        "zone": worker.zone,
+                        "rack": f"{worker.zone}-1",
+                        "accelerators": 8,
+                        "cores": 64,
+                        "memory_gb": 64,
+                    }
+                    for worker_id, worker in self.workers.items()
+                ],
+            }
+        )
+        await store.put_inventory(base, inventory)
+        for number in (0, 1):
+            await self.start_entry(number)
+        for worker_id in self.workers:
+            await self.start_agent(worker_id)
+        self._background = [
+            asyncio.create_task(self._guard(self._sweep)),
+            asyncio.create_task(self._guard(self._check)),
+        ]
+
+    async def _guard(self, work: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await work()
+        except InvariantViolation as error:
+            self.error = error
+
+    async def _sweep(self) -> None:
+        while True:
+            for worker in self.workers.values():
+                worker.sweep()
+            await asyncio.sleep(SWEEP_S)
+
+    async def _check(self) -> None:
+        clock = asyncio.get_running_loop().time
+        while True:
+            self.history.check_gangs(clock())
+            for node in self.nodes.values():
+                register = (
+                    node.part.register
+                    if isinstance(node.part, Agent)
+                    else node.part.watch.register
+                )
+                name = f"{node.name}#{node.part.incarnation}"
+                self.history.note_version(name, register.head.version)
+            for key, row in self.table.rows.items():
+                if key.startswith("job/"):
+                    job = JobRow.from_value(row.value)
+                    if job.status.is_terminal:
+                        self.history.note_terminal(job.job_id, job.status)
+            await asyncio.sleep(0.25)
+
+    async def start_entry(self, number: int) -> None:
+        """Start an entry."""
+        self._incarnation += 1
+        name = f"entry-{number + 1}"
+        settings = EntrySettings(
+            name=name,
+            zone=self.zones[0],
+            listen=f"127.0.0.1:{2001 + number}",
+            control=self.entries[number],
+            table=URL,
+            entries=self.entries,
+        )
+        mailbox = FakeMailbox(name, settings.control, self.network)
+        entry = Entry(
+            settings, self._incarnation, self.table, mailbox, Metrics(name)
+        )
+        self.nodes[name] = Node(name, entry.start(), mailbox, entry)
+
+    async def start_agent(self, worker_id: str) -> None:
+        """Start the agent beside a worker."""
+        self._incarnation += 1
+        worker = self.workers[worker_id]
+        number = list(self.workers).index(worker_id)
+        name = f"agent-{worker_id}"
+        settings = AgentSettings.model_validate(
+            {
+                "name": name,
+                "zone": worker.zone,
+                "listen": f"127.0.0.1:{4001 + number}",
+                "control": f"127.0.0.1:{3001 + number}",
+                "table": URL,
+                "entries": self.entries,
+                "worker": {"id": worker_id, "url": URL},
+            }
+        )
+        mailbox = FakeMailbox(name, settings.control, self.network)
+        agent = Agent(
+            settings,
+            self._incarnation,
+            self.table,
+            mailbox,
+            worker,
+            Metrics(name),
+        )
+        self.nodes[name] = Node(name, await agent.start(), mailbox, agent)
+
+    async def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        node = self.nodes.pop(name)
+        node.mailbox.close()
+        tasks = list(node.tasks)
+        if isinstance(node.part, Agent):
+            tasks += list(node.part.controller._tasks)
+            if node.part.members is not None:
+                tasks += list(node.part.members._busy)
+        else:
+            tasks += list(node.part.watch._reads)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def isolate(self, name: str, both: bool) -> None:
+        """Cut what a process sends, and what it hears as well if asked."""
+        address = self.nodes[name].mailbox.address
+        for other in self.network.boxes:
+            if other != address:
+                self.network.cut.add((address, other))
+                if both:
+                    self.network.cut.add((other, address))
+
+    # Callers and operators
+
+    async def submit(self, job_id: str, tasks: int, accelerators: int) -> None:
+        """Submit a job by its rows, as an entry does."""
+        entry = self._any_entry()
+        zone = self.source.choice(self.zones)
+        row = JobRow(
+            job_id,
+            "north",
+            tasks,
+            accelerators,
+            1.0,
+            1.0,
+            Adjacency.ZONE,
+            self.source.uniform(2.0, 30.0),
+            False,
+            zone,
+            submitted_at=time.time(),
+        )
+        self.history.gangs[job_id] = tasks
+        transaction = Transaction(
+            [Check(job_key(job_id), 0)], row.submit_writes(), new_nonce()
+        )
+        answer = await commit_surely(self.table, transaction, 600.0)
+        assert isinstance(answer, Committed)
+        if entry is not None:
+            entry._notify(zone, job_id)
+
+    async def cancel(self, job_id: str) -> None:
+        """Ask for a job's cancellation by its row."""
+        for _ in range(20):
+            try:
+                row = await self.table.read(job_key(job_id))
+            except Exception:
+                await asyncio.sleep(1.0)
+                continue
+            if row.value is None:
+                return
+            job = JobRow.from_value(row.value)
+            if job.status.is_terminal:
+                return
+            transaction = Transaction(
+                [Check(row.key, row.version)],
+                [
+                    job.change(cancel_requested=True).to_write(),
+                    Write(inbox_key(job.home, job_id), {}),
+                ],
+                new_nonce(),
+            )
+            answer = await self.table.commit(transaction)
+            if isinstance(answer, Committed):
+                return
+            await asyncio.sleep(0.2)
+
+    def _any_entry(self) -> Entry | None:
+        for node in self.nodes.values():
+            if isinstance(node.part, Entry):
+                return node.part
+        return None
+
+    async def set_zone(self, zone: str, is_in: bool) -> bool:
+        """Change a zone as an operator through an entry; tell if accepted."""
+        entry = self._any_entry()
+        clock = asyncio.get_running_loop().time
+        if entry is None:
+            return False
+        store = entry.watch.store
+        try:
+            base = await store.read_head()
+            if is_in:
+                self._end_zone_out(zone, clock())
+            sent_at = clock()
+            change = await store.set_zone(base, zone, is_in)
+        except Exception:
+            return False
+        if not change.accepted:
+            return False
+        entry.watch.adopt(change.head, sent_at)
+        await entry.watch.wait_in_force(
+            change.head.version, None if is_in else zone
+        )
+        if not is_in:
+            self.history.zones_out.append(ZoneOut(zone, clock()))
+        return True
+
+    def _end_zone_out(self, zone: str, now: float) -> None:
+        for out in self.history.zones_out:
+            if out.zone == zone and out.ended is None:
+                out.ended = now
+
+    async def job_statuses(self) -> dict[str, JobStatus]:
+        """Return the status of every job from the table itself."""
+        return {
+            row.value["job_id"]: JobStatus(row.value["status"])
+            for key, row in self.table.rows.items()
+            if key.startswith("job/")
+        }
+
+    async def stop(self) -> None:
+        """Kill everything."""
+        for name in list(self.nodes):
+            await self.kill(name)
+        for task in self._background:
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
