Tell every agent who controls its zone

Cause: a controller greets the agents that entries knew when it took over and whoever greets it; an agent that came later never heard of it, so its worker stayed withheld. Seen as 120 instead of 128 idle accelerators with 16 agents. Ruled out: the reload of the inventory (6 agents that were there before were counted) and lost messages (the figure stayed the same for 8 s). Change: an entry's answer to a heartbeat names the zone's controller. Before: tests/test_late_agent.py leaves its job queued. Conclusion: the controller is found by every agent that any entry hears.

--- a/hickorywing/agent.py
+++ b/hickorywing/agent.py
@@ -83,6 +83,7 @@
         self.service = ""
         self._backend_seen_at = float("-inf")
         self._controller_at = ""
+        self._controller_epoch = 0
         self._kick = asyncio.Event()
         limits = settings.backend
         slots = limits.slots if limits else 1
@@ -206,6 +207,8 @@
         if ack.age_s is not None:
             confirmed_at = ack.sent_at - ack.age_s
         self._adopt(ack.head, confirmed_at)
+        if ack.controller is not None:
+            self._note_controller(ack.controller)
         if self.members is not None and ack.epoch:
             self.members.take_ack(ack)
 
@@ -221,6 +224,9 @@
     def _note_controller(self, hello: ControllerHello) -> None:
         if hello.zone != self.settings.zone:
             return
+        if hello.epoch < self._controller_epoch:
+            return
+        self._controller_epoch = hello.epoch
         if hello.control != self._controller_at:
             self._controller_at = hello.control
             self._kick.set()
--- a/hickorywing/entry.py
+++ b/hickorywing/entry.py
@@ -431,6 +431,7 @@
             beat.sent_at,
             Head.from_policy(register.head),
             None if age == float("inf") else age,
+            controller=self._fresh_controller(beat.info.zone),
         )
 
     def _hear_controller(self, hello: ControllerHello) -> None:
--- a/hickorywing/messages.py
+++ b/hickorywing/messages.py
@@ -105,21 +105,6 @@
     members: list[MemberReport] = []
 
 
-class HeartbeatAck(Message, frozen=True):
-    """Answers one heartbeat.
-
-    ``age_s`` is how long before this answer the head was surely in force;
-    ``renewed`` lists the members whose leases go on.
-    """
-
-    sent_at: float
-    head: Head
-    age_s: float | None
-    epoch: int = 0
-    renewed: list[MemberReport] = []
-    noted: list[MemberReport] = []
-
-
 class ControllerHello(Message, frozen=True):
     """Names the controller of a zone; ``free`` counts idle accelerators."""
 
@@ -133,6 +118,23 @@
     wants_agents: bool = False
 
 
+class HeartbeatAck(Message, frozen=True):
+    """Answers one heartbeat.
+
+    ``age_s`` is how long before this answer the head was surely in force and
+    ``renewed`` lists the members whose leases go on. An entry's answer names
+    the controller of the agent's zone, if it has heard one of late.
+    """
+
+    sent_at: float
+    head: Head
+    age_s: float | None
+    epoch: int = 0
+    renewed: list[MemberReport] = []
+    noted: list[MemberReport] = []
+    controller: ControllerHello | None = None
+
+
 class KnownControllers(Message, frozen=True):
     """What an entry knows of all zones, in answer to a controller's hello."""
 
--- /dev/null
+++ b/tests/test_late_agent.py
@@ -0,0 +1,27 @@
+"""An agent that joins after its controller took over."""
+
+import asyncio
+
+from protocolfake import ProtocolSystem
+from virtual import run_virtual
+
+
+class TestLateAgent:
+    def test_it_learns_of_the_controller(self):
+        async def work() -> None:
+            workers = {"a1": "a", "a2": "a"}
+            system = ProtocolSystem(1, workers)
+            try:
+                await system.start()
+                await system.kill("agent-a2")
+                await asyncio.sleep(60.0)
+                await system.start_agent("a2")
+                await asyncio.sleep(10.0)
+                await system.submit("north.j", 2, 8)
+                await asyncio.sleep(60.0)
+                statuses = await system.job_statuses()
+                assert statuses["north.j"] == "done"
+            finally:
+                await system.stop()
+
+        run_virtual(work())
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -4,9 +4,9 @@
 import contextlib
 import random
 
-import looptime
 from protocolfake import ProtocolSystem
 import pytest
+from virtual import run_virtual
 
 WORKERS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 JOBS = 12
@@ -15,15 +15,6 @@
 CALM_S = 900.0
 
 
-def run_virtual(work) -> None:
-    """Run a coroutine on a loop whose time is virtual."""
-    loop = looptime.new_event_loop(end=100_000, noop_cycles=0)
-    try:
-        loop.run_until_complete(work)
-    finally:
-        loop.close()
-
-
 async def wait_for_all(system: ProtocolSystem, timeout_s: float) -> None:
     clock = asyncio.get_running_loop().time
     deadline = clock() + timeout_s
