--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 STEPS ?= 20000
 
-.PHONY: demo test lint soak measure slopes latency
+.PHONY: demo up test lint soak measure slopes latency
 
 $(VENV)/installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -14,6 +14,9 @@
 demo: $(VENV)/installed
 	$(BIN)/python tools/demo.py
 
+up: $(VENV)/installed
+	$(BIN)/python tools/demo.py --hold
+
 test: $(VENV)/installed
 	$(BIN)/python -m pytest
 
--- a/hickorywing/web.py
+++ b/hickorywing/web.py
@@ -32,7 +32,7 @@
 SHUTDOWN_S = 60
 
 
-class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+class Problem(msgspec.Struct, frozen=True):
     """An RFC 9457 problem document.
 
     ``run`` says what is known of the request: ``not run``, ``unknown`` or
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -3,6 +3,7 @@
 Exits with 1 when anything that was promised did not hold.
 """
 
+import argparse
 import asyncio
 from collections import Counter
 import datetime
@@ -16,6 +17,7 @@
 from launcher import Plan
 from launcher import wait_until
 
+from hickorywing.program import wait_for_stop
 from hickorywing.rules import hash_token
 
 __all__ = ["Demo", "main"]
@@ -82,6 +84,18 @@
             self.broken.append(f"stops that were not graceful: {wrong}")
         print(f"all {len(codes)} processes stopped gracefully: {not wrong}")
 
+    async def hold(self) -> None:
+        """Start the system and keep it up until interrupted."""
+        self.system.prepare()
+        self.system.start_all()
+        await self.system.wait_serving()
+        await self.load_documents()
+        print(f"export HICKORYWING_ENTRY=http://{self.system.http['entry-1']}")
+        print(f"export HICKORYWING_TOKEN={OPERATOR}")
+        print("stop with Ctrl-C", flush=True)
+        await wait_for_stop()
+        await self.system.stop_all()
+
     async def load_documents(self) -> None:
         """Load the example's inventory and rules."""
         for path, data in (
@@ -216,9 +230,14 @@
 
 def main() -> None:
     """Run the demo."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--hold", action="store_true", help="only start, and stay up"
+    )
+    options = parser.parse_args()
     demo = Demo()
     try:
-        asyncio.run(demo.run())
+        asyncio.run(demo.hold() if options.hold else demo.run())
     finally:
         demo.system.kill_all()
     for line in demo.broken:
--- /dev/null
+++ b/tools/latency.py
@@ -0,0 +1,120 @@
+"""Measure what an entry and an agent add to a call of the backend server.
+
+All in one run on loopback: the backend server called directly, then through
+entry and agent, at 1, 16 and 64 connections; medians, p99 and their ratios.
+"""
+
+import argparse
+import asyncio
+from pathlib import Path
+import shutil
+import time
+
+from blacksheep.client import ClientSession
+from launcher import Launcher
+from launcher import Plan
+from slopes import cpu_s
+from slopes import resident_mb
+
+from hickorywing.rules import hash_token
+
+__all__ = ["main"]
+
+REQUESTS = 1500
+
+
+async def drive(
+    url: str, path: str, connections: int, requests: int
+) -> list[float]:
+    """Return the seconds of each request over some connections."""
+    took: list[float] = []
+    left = [requests]
+
+    async def one_connection() -> None:
+        session = ClientSession(
+            base_url=url, http2=False, max_connection_retries=0
+        )
+        while left[0] > 0:
+            left[0] -= 1
+            began = time.perf_counter()
+            response = await session.get(
+                path, headers={"Authorization": "Bearer north"}
+            )
+            await response.read()
+            if response.status != 200:
+                raise RuntimeError(f"status {response.status}")
+            took.append(time.perf_counter() - began)
+        await session.close()
+
+    await asyncio.gather(*(one_connection() for _ in range(connections)))
+    return sorted(took)
+
+
+async def measure(service_s: float) -> None:
+    """Run and print the comparison."""
+    folder = Path("out/latency")
+    shutil.rmtree(folder, ignore_errors=True)
+    plan = Plan(
+        zones=["z"],
+        entries=1,
+        runners=["z"],
+        operator_sha256=hash_token("op"),
+        service_s=service_s,
+    )
+    launcher = Launcher(folder, plan)
+    launcher.prepare()
+    try:
+        launcher.start_all()
+        await launcher.wait_serving()
+        rules = {
+            "customers": [
+                {"name": "north", "token_sha256": [hash_token("north")]}
+            ]
+        }
+        inventory = {"regions": [{"name": "r", "zones": ["z"]}]}
+        await launcher.call("entry-1", "PUT", "/v1/inventory", inventory, "op")
+        await launcher.call("entry-1", "PUT", "/v1/rules", rules, "op")
+        await asyncio.sleep(3.0)
+        await compare(launcher)
+    finally:
+        launcher.kill_all()
+
+
+async def compare(launcher: Launcher) -> None:
+    """Print direct and routed times, then each daemon's memory."""
+    direct = f"http://{launcher.http['runner-1']}"
+    routed = f"http://{launcher.http['entry-1']}"
+    entry = launcher.processes["entry-1"].popen.pid
+    for connections in (1, 16, 64):
+        await drive(direct, "/x", connections, 100)
+        await drive(routed, "/v1/services/jobs/x", connections, 100)
+        plain = await drive(direct, "/x", connections, REQUESTS)
+        used = cpu_s(entry)
+        through = await drive(
+            routed, "/v1/services/jobs/x", connections, REQUESTS
+        )
+        used = cpu_s(entry) - used
+        half, high = len(plain) // 2, int(0.99 * len(plain))
+        print(
+            f"{connections:>3} connections: direct"
+            f" {1000 * plain[half]:.2f}/{1000 * plain[high]:.2f} ms, routed"
+            f" {1000 * through[half]:.2f}/{1000 * through[high]:.2f} ms,"
+            f" ratio {through[half] / plain[half]:.2f}/"
+            f"{through[high] / plain[high]:.2f},"
+            f" {REQUESTS / used:.0f} requests a second of entry core"
+        )
+    for name in ("entry-1", "agent-runner-1", "table", "runner-1"):
+        pid = launcher.processes[name].popen.pid
+        print(f"{name}: {resident_mb(pid):.1f} MB")
+
+
+def main() -> None:
+    """Run the measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--service-s", type=float, default=0.01)
+    options = parser.parse_args()
+    asyncio.run(measure(options.service_s))
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -26,18 +26,28 @@
 
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 90.0
+FIRST_PORT = 20_000
+PORT_RANGE = 12_000
+PORT_STRIDE = 97
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return ports that nothing listens on.
+
+    They lie below the range that the system gives to outgoing connections,
+    so none is taken by one of those before its process listens.
+    """
+    found: list[int] = []
+    port = FIRST_PORT + os.getpid() * PORT_STRIDE % PORT_RANGE
+    while len(found) < count:
+        port = FIRST_PORT + (port + 1 - FIRST_PORT) % PORT_RANGE
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 async def wait_until(check: Any, timeout_s: float, what: str) -> Any:
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -20,6 +20,7 @@
 import sys
 import time
 
+from launcher import find_free_ports
 from launcher import Launcher
 from launcher import Plan
 from launcher import wait_until
@@ -324,7 +325,7 @@
     values = []
     inboxes = []
     mailbox = PynngMailbox("m", "127.0.0.1:0", Metrics("m"))
-    base_port = 21000
+    base_port = find_free_ports(1)[0] + 1000
     pid = os.getpid()
     for number in range(sizes[-1] + 1):
         if number in sizes:
