--- a/hickorywing/configapi.py
+++ b/hickorywing/configapi.py
@@ -19,7 +19,6 @@
 from hickorywing.jobapi import forbid
 from hickorywing.jobapi import read_json
 from hickorywing.jobapi import table_problem
-from hickorywing.messages import Head
 from hickorywing.metrics import Metrics
 from hickorywing.rules import check_rules
 from hickorywing.table import Conflict
@@ -49,7 +48,9 @@
 class HeadAnswer(msgspec.Struct):
     """The present configuration."""
 
-    head: Head
+    version: int
+    zones_out: list[str]
+    draining: list[str]
     inventory: object
     rules: object
 
@@ -83,10 +84,13 @@
         if find_caller(request).role is not Role.OPERATOR:
             return forbid("operators only")
         documents = self.watch.documents
+        head = self.watch.register.head
         return answer_json(
             200,
             HeadAnswer(
-                Head.from_policy(self.watch.register.head),
+                head.version,
+                sorted(head.zones_out),
+                sorted(head.draining),
                 documents.inventory.model_dump(),
                 documents.rules.model_dump(),
             ),
--- a/hickorywing/jobwriter.py
+++ b/hickorywing/jobwriter.py
@@ -23,6 +23,7 @@
 __all__ = ["JobWriter"]
 
 MAX_CONFLICTS = 8
+COMMITS_AT_ONCE = 16
 UNSERVED_PAUSE_S = 1.0
 
 Change = Callable[[JobRow], JobRow | None]
@@ -47,6 +48,7 @@
         self._versions: dict[str, int] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._unserved_until = 0.0
+        self._gate = asyncio.Semaphore(COMMITS_AT_ONCE)
 
     def serves(self) -> bool:
         """Tell whether the table has answered of late."""
@@ -166,7 +168,8 @@
         transaction = Transaction(
             [own, epoch, *checks], writes_of(wanted), new_nonce()
         )
-        answer = await commit_surely(self.table, transaction, patience_s)
+        async with self._gate:
+            answer = await commit_surely(self.table, transaction, patience_s)
         if isinstance(answer, Committed):
             self._rows[job_id] = wanted
             self._versions[job_id] = answer.version
--- a/hickorywing/table.py
+++ b/hickorywing/table.py
@@ -37,7 +37,8 @@
 ]
 
 TABLE_TIMEOUT_S = 8.0
-RETRY_PAUSE_S = 0.2
+FIRST_RETRY_S = 0.2
+LAST_RETRY_S = 3.2
 
 
 class TableUnavailable(HickorywingError):  # noqa: N818
@@ -235,13 +236,14 @@
 ) -> Commit:
     """Try a transaction until its fate is known, or patience runs out.
 
-    The same transaction is sent again: it takes effect at most once, since
-    its checks fail after it did. A conflict on rows that carry this
+    The same transaction is sent again, after pauses that double: it takes
+    effect at most once, since its checks fail after it did. A conflict on rows that carry this
     transaction's nonce means that an earlier try took effect.
     """
     clock = asyncio.get_running_loop().time
     deadline = clock() + patience_s
     doubtful = False
+    pause_s = FIRST_RETRY_S
     while True:
         answer = await table.commit(transaction)
         if isinstance(answer, Committed):
@@ -249,9 +251,11 @@
         if isinstance(answer, Conflict):
             return _recognise(transaction, answer, doubtful)
         doubtful = doubtful or isinstance(answer, Unknown)
-        if clock() + RETRY_PAUSE_S >= deadline:
+        left_s = deadline - clock()
+        if left_s <= FIRST_RETRY_S:
             return Unknown() if doubtful else Refused()
-        await asyncio.sleep(RETRY_PAUSE_S)
+        await asyncio.sleep(min(pause_s, left_s / 2))
+        pause_s = min(2 * pause_s, LAST_RETRY_S)
 
 
 def _recognise(
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -205,7 +205,7 @@
     async def test_racing_changes_have_one_winner(self, system):
         version = (
             await system.call("entry-1", "GET", "/v1/config", token=OPERATOR)
-        ).data()["head"]["version"]
+        ).data()["version"]
         headers = {"If-Match": str(version)}
         first, second = await asyncio.gather(
             system.call(
