Stop believing a controller that a successor may have replaced

Cause: a controller cut off from the table alone goes on renewing leases, which an outage needs; if another agent of the zone reaches the table and takes over, both run the same job. The table of the chaos runs was one for all, so no run could show it (found by reading). Change: an agent that hears of a higher epoch from an entry refuses the older controller's renewals; renewals without a held lease count only while an entry is heard. In the runs each process now has its own cut of the table, and 24 jobs of up to 90 s. Left: an agent that hears only the old controller and an entry that is cut off as well; listed with the promises.

--- a/hickorywing/agent.py
+++ b/hickorywing/agent.py
@@ -57,6 +57,7 @@
 
 MEMBER_DRAIN_S = 60.0
 DRAIN_CHECK_S = 0.1
+ENTRY_HEARD_S = 5.0
 
 
 class Agent:
@@ -83,6 +84,7 @@
         self.service = ""
         self._backend_seen_at = float("-inf")
         self._controller_at = ""
+        self._entry_heard_at = float("-inf")
         self._controller_epoch = 0
         self._kick = asyncio.Event()
         limits = settings.backend
@@ -209,9 +211,22 @@
         self._adopt(ack.head, confirmed_at)
         if ack.controller is not None:
             self._note_controller(ack.controller)
-        if self.members is not None and ack.epoch:
+        if not ack.epoch:
+            self._entry_heard_at = self.clock()
+        elif self.members is not None and self._may_renew(ack):
             self.members.take_ack(ack)
 
+    def _may_renew(self, ack: HeartbeatAck) -> bool:
+        """Tell whether a controller's renewals count.
+
+        One that cannot renew its own lease may be cut off from the table
+        while a successor restarts its jobs. It is believed only as long as
+        an entry is heard, since entries name the successor.
+        """
+        if ack.holds:
+            return True
+        return self.clock() - self._entry_heard_at < ENTRY_HEARD_S
+
     def _adopt(self, head: Head, confirmed_at: float) -> None:
         was_leaving = self._is_leaving()
         if self.register.adopt(head.to_policy(), confirmed_at):
@@ -227,6 +242,8 @@
         if hello.epoch < self._controller_epoch:
             return
         self._controller_epoch = hello.epoch
+        if self.members is not None:
+            self.members.permit.admit_epoch(hello.epoch)
         if hello.control != self._controller_at:
             self._controller_at = hello.control
             self._kick.set()
--- a/hickorywing/messages.py
+++ b/hickorywing/messages.py
@@ -123,7 +123,8 @@
 
     ``age_s`` is how long before this answer the head was surely in force and
     ``renewed`` lists the members whose leases go on. An entry's answer names
-    the controller of the agent's zone, if it has heard one of late.
+    the controller of the agent's zone, if it has heard one of late; a
+    controller's answer says whether it surely holds its lease.
     """
 
     sent_at: float
@@ -133,6 +134,7 @@
     renewed: list[MemberReport] = []
     noted: list[MemberReport] = []
     controller: ControllerHello | None = None
+    holds: bool = True
 
 
 class KnownControllers(Message, frozen=True):
--- a/hickorywing/table.py
+++ b/hickorywing/table.py
@@ -237,8 +237,9 @@
     """Try a transaction until its fate is known, or patience runs out.
 
     The same transaction is sent again, after pauses that double: it takes
-    effect at most once, since its checks fail after it did. A conflict on rows that carry this
-    transaction's nonce means that an earlier try took effect.
+    effect at most once, since its checks fail after it did. A conflict on
+    rows that carry this transaction's nonce means that an earlier try took
+    effect.
     """
     clock = asyncio.get_running_loop().time
     deadline = clock() + patience_s
--- a/hickorywing/zonecontroller.py
+++ b/hickorywing/zonecontroller.py
@@ -376,6 +376,7 @@
             self.leadership.holder.epoch,
             renewed,
             noted,
+            holds=self.leadership.holds(),
         )
 
     @staticmethod
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -9,7 +9,7 @@
 from virtual import run_virtual
 
 WORKERS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
-JOBS = 12
+JOBS = 24
 SHAPES = ((1, 8), (2, 8), (2, 8), (3, 4), (4, 4), (2, 0))
 CHAOS_S = 240.0
 CALM_S = 900.0
@@ -34,6 +34,8 @@
     system.network.doubled = 0.0
     system.network.late = 0.0
     system.network.cut.clear()
+    for node in system.nodes.values():
+        node.table.cut = False
     system.table.faults.down = False
     system.table.faults.delay_s = 0.0
     system.table.faults.lose_answers = 0
@@ -42,7 +44,7 @@
 async def disturb(system: ProtocolSystem, source: random.Random) -> None:
     """Do one random bad thing."""
     names = list(system.nodes)
-    choice = source.randrange(9)
+    choice = source.randrange(12)
     if choice == 0:
         await system.kill(source.choice(names))
     elif choice == 1:
@@ -60,6 +62,11 @@
         system.network.late = source.uniform(0.0, 0.2)
     elif choice == 7:
         calm(system)
+    elif choice in (8, 9):
+        node = system.nodes[source.choice(names)]
+        node.table.cut = True
+        if choice == 9:
+            system.isolate(node.name, source.random() < 0.5)
     else:
         zone = source.choice(system.zones)
         await system.set_zone(zone, source.random() < 0.5)
--- a/tools/protocolfake.py
+++ b/tools/protocolfake.py
@@ -19,6 +19,7 @@
 from hickorywing.configuration import HeadRead
 from hickorywing.entry import Entry
 from hickorywing.errors import InvariantViolation
+from hickorywing.inventory import InventoryModel
 from hickorywing.jobs import inbox_key
 from hickorywing.jobs import job_key
 from hickorywing.jobs import JobRow
@@ -36,10 +37,15 @@
 from hickorywing.standins.tables import MemoryTable
 from hickorywing.standins.workers import WorkerTasks
 from hickorywing.table import Check
+from hickorywing.table import Commit
 from hickorywing.table import commit_surely
 from hickorywing.table import Committed
 from hickorywing.table import new_nonce
+from hickorywing.table import Row
+from hickorywing.table import Table
+from hickorywing.table import TableUnavailable
 from hickorywing.table import Transaction
+from hickorywing.table import Unknown
 from hickorywing.table import Write
 from hickorywing.workers import TaskLaunch
 from hickorywing.workers import TaskNames
@@ -185,6 +191,32 @@
                 )
 
 
+class CutTable(Table):
+    """The shared table as one process reaches it, or does not."""
+
+    def __init__(self, table: MemoryTable) -> None:
+        self.table = table
+        self.cut = False
+
+    async def read_many(self, keys: list[str]) -> list[Row]:
+        """Return rows, unless cut off."""
+        if self.cut:
+            raise TableUnavailable("cut off")
+        return await self.table.read_many(keys)
+
+    async def scan(self, prefix: str) -> list[Row]:
+        """Return all rows below a prefix, unless cut off."""
+        if self.cut:
+            raise TableUnavailable("cut off")
+        return await self.table.scan(prefix)
+
+    async def commit(self, transaction: Transaction) -> Commit:
+        """Try a transaction, unless cut off."""
+        if self.cut:
+            return Unknown()
+        return await self.table.commit(transaction)
+
+
 class History:
     """What really ran, checked against the promises."""
 
@@ -281,6 +313,7 @@
     tasks: list[asyncio.Task[None]]
     mailbox: FakeMailbox
     part: Agent | Entry
+    table: CutTable
 
 
 class ProtocolSystem:
@@ -310,8 +343,6 @@
         """Load an inventory and start every process."""
         store = ConfigurationStore(self.table)
         base = HeadRead((await store.read_head()).head, 0)
-        from hickorywing.inventory import InventoryModel
-
         inventory = InventoryModel.model_validate(
             {
                 "regions": [{"name": "r", "zones": self.zones}],
@@ -382,10 +413,11 @@
             entries=self.entries,
         )
         mailbox = FakeMailbox(name, settings.control, self.network)
+        table = CutTable(self.table)
         entry = Entry(
-            settings, self._incarnation, self.table, mailbox, Metrics(name)
+            settings, self._incarnation, table, mailbox, Metrics(name)
         )
-        self.nodes[name] = Node(name, entry.start(), mailbox, entry)
+        self.nodes[name] = Node(name, entry.start(), mailbox, entry, table)
 
     async def start_agent(self, worker_id: str) -> None:
         """Start the agent beside a worker."""
@@ -405,15 +437,17 @@
             }
         )
         mailbox = FakeMailbox(name, settings.control, self.network)
+        table = CutTable(self.table)
         agent = Agent(
             settings,
             self._incarnation,
-            self.table,
+            table,
             mailbox,
             worker,
             Metrics(name),
         )
-        self.nodes[name] = Node(name, await agent.start(), mailbox, agent)
+        tasks = await agent.start()
+        self.nodes[name] = Node(name, tasks, mailbox, agent, table)
 
     async def kill(self, name: str) -> None:
         """Kill a process at once."""
@@ -453,7 +487,7 @@
             1.0,
             1.0,
             Adjacency.ZONE,
-            self.source.uniform(2.0, 30.0),
+            self.source.uniform(2.0, 90.0),
             False,
             zone,
             submitted_at=time.time(),
