Keep a violation that a worker's caller would swallow

Cause: the history raised inside the fake worker, and the agent takes any exception there for a failed call, so overlaps and late starts could not fail a run (found because a mutation that declares loss after 3 s passed).

--- a/tools/protocolfake.py
+++ b/tools/protocolfake.py
@@ -226,11 +226,28 @@
         self.gangs: dict[str, int] = {}
         self.versions: dict[str, int] = {}
         self.terminal: dict[str, str] = {}
+        self.error: InvariantViolation | None = None
 
     def note_start(
         self, worker: FakeWorker, launch: TaskLaunch, now: float
     ) -> None:
-        """Check a start against everything that runs."""
+        """Check a start against everything that runs.
+
+        A violation is kept besides being raised, since what calls a worker
+        takes any exception for a failed call.
+        """
+        try:
+            self._check_start(worker, launch, now)
+        except InvariantViolation as error:
+            self.error = self.error or error
+            raise
+        self.runs[launch.task_id] = Run(
+            worker.worker_id, worker.zone, launch, now
+        )
+
+    def _check_start(
+        self, worker: "FakeWorker", launch: TaskLaunch, now: float
+    ) -> None:
         if launch.task_id in self.runs:
             raise InvariantViolation(f"{launch.task_id} started twice")
         for out in self.zones_out:
@@ -248,9 +265,6 @@
                 raise InvariantViolation(
                     f"{launch.task_id} started beside {run.launch.task_id}"
                 )
-        self.runs[launch.task_id] = Run(
-            worker.worker_id, worker.zone, launch, now
-        )
 
     def note_end(self, task_id: str, state: TaskState, now: float) -> None:
         """Note the end of a task."""
@@ -332,7 +346,12 @@
         self.entries = ("127.0.0.1:1001", "127.0.0.1:1002")
         self._incarnation = 0
         self._background: list[asyncio.Task[None]] = []
-        self.error: BaseException | None = None
+        self._error: InvariantViolation | None = None
+
+    @property
+    def error(self) -> InvariantViolation | None:
+        """Return the first violation, if there was one."""
+        return self._error or self.history.error
 
     @property
     def zones(self) -> list[str]:
@@ -373,7 +392,7 @@
         try:
             await work()
         except InvariantViolation as error:
-            self.error = error
+            self._error = error
 
     async def _sweep(self) -> None:
         while True:
