--- a/hickorywing/zonecontroller.py
+++ b/hickorywing/zonecontroller.py
@@ -777,7 +777,10 @@
     # New, changed and moving jobs
 
     async def _read_inbox(self) -> None:
-        if "inbox" in self._starting or not self.table_serves():
+        if "inbox" in self._starting:
+            self._inbox_at = self._now()
+            return
+        if not self.table_serves():
             return
         self._starting.add("inbox")
         writer = self.writer
