Keep idle connections longer at listeners than at clients

Cause: requests got 503 'not run' for a connection that the agent's listener was closing (idle limit 5 s) while the entry's client still kept it (300 s); with one backend server there was no other to try. Seen by the latency tool as ConnectionClosedError in the refusal. Ruled out: the concurrency limit (raised to its maximum at the start, the refusals stayed) and the agent's 64 connections. Change: listeners keep idle connections 75 s, clients 30 s; the limit starts at its maximum and follows the wait for a slot, which agents now report.

--- a/hickorywing/client.py
+++ b/hickorywing/client.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hickorywing.errors import UserError
+from hickorywing.web import CLIENT_IDLE_S
 
 __all__ = ["Answer", "Client", "NotReachable"]
 
@@ -56,6 +57,7 @@
         self._session = ClientSession(
             http2=False,
             max_connection_retries=0,
+            idle_timeout=CLIENT_IDLE_S,
             follow_redirects=False,
             connection_timeout=3.0,
             request_timeout=TIMEOUT_S,
--- a/hickorywing/dispatch.py
+++ b/hickorywing/dispatch.py
@@ -21,6 +21,7 @@
 from hickorywing.policy.claims import AdmissionBook
 from hickorywing.policy.limits import WaitQueue
 from hickorywing.web import answer_problem
+from hickorywing.web import CLIENT_IDLE_S
 from hickorywing.web import find_header
 from hickorywing.web import Problem
 
@@ -66,6 +67,7 @@
     RUN = b"hw-run"
     VERSION = b"hw-config-version"
     REASON = b"hw-reason"
+    WAIT = b"hw-wait-s"
 
 
 class RunState(enum.StrEnum):
@@ -148,6 +150,7 @@
         self._session = ClientSession(
             http2=False,
             max_connection_retries=0,
+            idle_timeout=CLIENT_IDLE_S,
             follow_redirects=False,
             cookie_jar=False,
             connection_timeout=1.0,
@@ -190,14 +193,19 @@
         self, request: Request, dispatch_id: str, deadline_s: float
     ) -> Response:
         body = await request.read() or b""
+        arrived = self.clock()
         retry_after_s = await self._wait_for_slot(dispatch_id, deadline_s)
         if retry_after_s is not None:
             self.book.withdraw(dispatch_id)
             self.metrics.count("dispatches_shed")
             return self._refuse("no slot in time", retry_after_s)
         started = self.clock()
+        waited = f"{started - arrived:.3f}".encode()
         try:
-            return await self._run(request, body, deadline_s)
+            left_s = deadline_s - (started - arrived)
+            response = await self._run(request, body, left_s)
+            response.add_header(DispatchHeader.WAIT, waited)
+            return response
         finally:
             self.queue.finish(self.clock() - started)
             self._grant_slots()
--- a/hickorywing/entry.py
+++ b/hickorywing/entry.py
@@ -68,6 +68,7 @@
 from hickorywing.timeline import Timeline
 from hickorywing.web import add_route
 from hickorywing.web import answer_json
+from hickorywing.web import CLIENT_IDLE_S
 from hickorywing.web import find_header
 from hickorywing.web import WebServer
 
@@ -300,6 +301,7 @@
             base_url=f"http://{info.http}",
             http2=False,
             max_connection_retries=0,
+            idle_timeout=CLIENT_IDLE_S,
         )
         try:
             async with asyncio.timeout(GATHER_TIMEOUT_S):
--- a/hickorywing/policy/limits.py
+++ b/hickorywing/policy/limits.py
@@ -41,7 +41,7 @@
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
-        self.limit = 2.0 * slots
+        self.limit = MAX_LIMIT
 
     def observe(self, wait_s: float, refused: bool) -> None:
         """Take in how long one request waited for a slot, in seconds."""
--- a/hickorywing/routing.py
+++ b/hickorywing/routing.py
@@ -29,6 +29,7 @@
 from hickorywing.policy.limits import RetryBudget
 from hickorywing.policy.selection import BackendSelector
 from hickorywing.web import answer_problem
+from hickorywing.web import CLIENT_IDLE_S
 from hickorywing.web import find_header
 from hickorywing.web import Problem
 
@@ -70,6 +71,7 @@
     body: bytes = b""
     reason: str = ""
     retry_after_s: float | None = None
+    wait_s: float = 0.0
 
     def to_response(self) -> Response:
         """Return the answer for the caller."""
@@ -147,6 +149,7 @@
                 base_url=f"http://{info.http}",
                 http2=False,
                 max_connection_retries=0,
+                idle_timeout=CLIENT_IDLE_S,
                 follow_redirects=False,
                 cookie_jar=False,
                 connection_timeout=1.0,
@@ -229,6 +232,7 @@
                 failed,
                 result.run is RunState.NOT_RUN,
                 self.clock(),
+                result.wait_s,
             )
         return result
 
@@ -295,12 +299,14 @@
         if said != RunState.DONE:
             return RouteResult(RunState.UNKNOWN, reason=reason)
         kind = response.headers.get_first(b"content-type")
+        waited = find_header(response.headers, DispatchHeader.WAIT) or "0"
         return RouteResult(
             RunState.DONE,
             response.status,
             kind or b"application/octet-stream",
             tuple(hop_headers(response.headers)),
             body,
+            wait_s=float(waited),
         )
 
     async def _find_out(
--- a/hickorywing/standins/backends.py
+++ b/hickorywing/standins/backends.py
@@ -13,6 +13,7 @@
 from hickorywing.backends import Announcement
 from hickorywing.settings import StandinSettings
 from hickorywing.web import answer_json
+from hickorywing.web import CLIENT_IDLE_S
 from hickorywing.web import find_header
 
 __all__ = ["BackendFaults", "make_backend_app", "announce"]
@@ -76,7 +77,10 @@
 async def announce(settings: StandinSettings, address: str) -> None:
     """Tell the agent of this backend server, again and again."""
     session = ClientSession(
-        base_url=settings.agent, http2=False, max_connection_retries=0
+        base_url=settings.agent,
+        http2=False,
+        max_connection_retries=0,
+        idle_timeout=CLIENT_IDLE_S,
     )
     body = msgspec.json.encode(
         Announcement(
--- a/hickorywing/table.py
+++ b/hickorywing/table.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from hickorywing.errors import HickorywingError
+from hickorywing.web import CLIENT_IDLE_S
 
 __all__ = [
     "Check",
@@ -161,6 +162,7 @@
             base_url=url,
             http2=False,
             max_connection_retries=0,
+            idle_timeout=CLIENT_IDLE_S,
             connection_timeout=2.0,
             request_timeout=timeout_s,
             follow_redirects=False,
--- a/hickorywing/web.py
+++ b/hickorywing/web.py
@@ -1,4 +1,8 @@
-"""Serve HTTP on one address, with problem documents for refusals."""
+"""Serve HTTP on one address, with problem documents for refusals.
+
+Listeners keep idle connections longer than the system's own clients do, so no
+client sends a request on a connection that is being closed under it.
+"""
 
 import asyncio
 from collections.abc import Awaitable
@@ -16,6 +20,7 @@
 import uvicorn
 
 __all__ = [
+    "CLIENT_IDLE_S",
     "Problem",
     "WebServer",
     "add_route",
@@ -30,6 +35,8 @@
 BACKLOG = 512
 MAX_CONCURRENT = 2048
 SHUTDOWN_S = 60
+SERVER_IDLE_S = 75
+CLIENT_IDLE_S = 30.0
 
 
 class Problem(msgspec.Struct, frozen=True):
@@ -126,6 +133,7 @@
             ws="none",
             limit_concurrency=MAX_CONCURRENT,
             timeout_graceful_shutdown=SHUTDOWN_S,
+            timeout_keep_alive=SERVER_IDLE_S,
             h11_max_incomplete_event_size=65536,
             server_header=False,
         )
--- a/hickorywing/workers.py
+++ b/hickorywing/workers.py
@@ -8,6 +8,8 @@
 from blacksheep.client import ClientSession
 import msgspec
 
+from hickorywing.web import CLIENT_IDLE_S
+
 __all__ = [
     "HttpWorker",
     "TaskLaunch",
@@ -93,6 +95,7 @@
             base_url=url,
             http2=False,
             max_connection_retries=0,
+            idle_timeout=CLIENT_IDLE_S,
             connection_timeout=WORKER_TIMEOUT_S,
             request_timeout=WORKER_TIMEOUT_S,
         )
--- a/tools/latency.py
+++ b/tools/latency.py
@@ -17,6 +17,7 @@
 from slopes import resident_mb
 
 from hickorywing.rules import hash_token
+from hickorywing.web import CLIENT_IDLE_S
 
 __all__ = ["main"]
 
@@ -32,7 +33,10 @@
 
     async def one_connection() -> None:
         session = ClientSession(
-            base_url=url, http2=False, max_connection_retries=0
+            base_url=url,
+            http2=False,
+            max_connection_retries=0,
+            idle_timeout=CLIENT_IDLE_S,
         )
         while left[0] > 0:
             left[0] -= 1
@@ -40,9 +44,9 @@
             response = await session.get(
                 path, headers={"Authorization": "Bearer north"}
             )
-            await response.read()
+            body = await response.read()
             if response.status != 200:
-                raise RuntimeError(f"status {response.status}")
+                raise RuntimeError(f"{response.status}: {body}")
             took.append(time.perf_counter() - began)
         await session.close()
 
