--- a/hickorywing/policy/selection.py
+++ b/hickorywing/policy/selection.py
@@ -25,6 +25,7 @@
 ]
 
 CHOICES = 3
+NEAR_SHARE = 0.75
 FAILURES_TO_EJECT = 5
 SLOW_TIMES_MEDIAN = 3.0
 SAMPLES_TO_JUDGE = 8
@@ -171,7 +172,7 @@
             backend
             for backend in usable
             if backend.zone == near_zone
-            and backend.outstanding < backend.slots
+            and backend.outstanding < NEAR_SHARE * backend.slots
         ]
         return self._least_loaded(near or usable)
 
