Split the scheduler's job views and its checks of what can never run

Change: jobview holds what is known of a job, feasibility tells what can never run and which cell a task needs; no behaviour changed.

--- a/hickorywing/policy/scheduler.py
+++ b/hickorywing/policy/scheduler.py
@@ -15,7 +15,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
-import enum
 
 from hickorywing.errors import InvariantViolation
 from hickorywing.policy.actions import Action
@@ -27,19 +26,19 @@
 from hickorywing.policy.actions import StartJob
 from hickorywing.policy.cells import Cell
 from hickorywing.policy.cells import CellIndex
-from hickorywing.policy.cells import SIZES
-from hickorywing.policy.cores import ACCELERATOR_SHARE
 from hickorywing.policy.cores import CorePool
 from hickorywing.policy.cores import CoreRequest
 from hickorywing.policy.estimates import RunTimeEstimates
+from hickorywing.policy.feasibility import Feasibility
 from hickorywing.policy.guarantees import GuaranteeLedger
 from hickorywing.policy.guarantees import Risk
+from hickorywing.policy.jobview import JobState
+from hickorywing.policy.jobview import JobView
 from hickorywing.policy.model import Adjacency
 from hickorywing.policy.model import Customer
 from hickorywing.policy.model import Guarantee
 from hickorywing.policy.model import JobSpec
 from hickorywing.policy.model import Placement
-from hickorywing.policy.model import round_up_cell
 from hickorywing.policy.model import TaskPlace
 from hickorywing.policy.model import WorkerSpec
 from hickorywing.policy.placement import ClaimPlan
@@ -53,7 +52,7 @@
 from hickorywing.policy.queue import Order
 from hickorywing.policy.queue import ShortWorkFirst
 
-__all__ = ["JobState", "JobView", "SchedulerOptions", "ZoneScheduler"]
+__all__ = ["SchedulerOptions", "ZoneScheduler"]
 
 STARVING_AFTER_S = 4 * 3600.0
 OPEN_AFTER_S = 60.0
@@ -62,51 +61,10 @@
 SEARCHES_PER_DECISION = 2
 MAX_ATTEMPT_FAILURES = 4
 SCAN_LIMIT = 256
-CHECKED_SHAPES = 4096
 MAX_DISPLACED_SHARE = 0.75
 MAX_DISPLACED_TIMES = 3
 
 
-class JobState(enum.StrEnum):
-    """Where a job stands inside the scheduler."""
-
-    QUEUED = "queued"
-    CLEARING = "clearing"
-    PLACED = "placed"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-@dataclass(slots=True)
-class JobView:
-    """One job that the scheduler knows."""
-
-    spec: JobSpec
-    submitted: float
-    cell_size: int
-    state: JobState = JobState.QUEUED
-    attempt: int = 0
-    placement: Placement | None = None
-    cells: list[Cell] = field(default_factory=list)
-    blocked_on: set[str] = field(default_factory=set)
-    started_at: float | None = None
-    attained_s: float = 0.0
-    failures: int = 0
-    cancelled: bool = False
-    waiting_since: float = 0.0
-    displaced: int = 0
-    displacing: str = ""
-    displacements: int = 0
-    searched_changes: int = -1
-    search_at: float = 0.0
-    open_at: float = 0.0
-
-    @property
-    def guaranteed(self) -> bool:
-        """Tell whether the job runs inside its customer's guarantee."""
-        return self.placement is not None and self.placement.guaranteed
-
-
 @dataclass(frozen=True, slots=True)
 class SchedulerOptions:
     """Which parts of the policy are in use; baselines switch some off."""
@@ -125,6 +83,7 @@
         self.options = options or SchedulerOptions()
         self.cells = CellIndex()
         self.cores = CorePool()
+        self.feasibility = Feasibility(self.cells, self.cores)
         self.ledger = GuaranteeLedger(self.cells)
         self.queue = JobQueue(self.options.order)
         self.estimates = RunTimeEstimates()
@@ -135,12 +94,9 @@
         self.allowed_shortfall = 0
         self._used_accelerators: dict[str, int] = {}
         self._used_cores: dict[str, float] = {}
-        self._share_cores = float("inf")
-        self._share_memory = float("inf")
         self._jobs_on: dict[str, set[str]] = {}
         self.has_more = False
         self._searches = 0
-        self._checked: dict[object, Refusal | None] = {}
 
     # Inventory and rules
 
@@ -149,10 +105,7 @@
         self.cells.add_worker(spec)
         self.cores.add_worker(spec)
         self._jobs_on.setdefault(spec.worker_id, set())
-        if spec.accelerators:
-            per = ACCELERATOR_SHARE / spec.accelerators
-            self._share_cores = min(self._share_cores, spec.cores * per)
-            self._share_memory = min(self._share_memory, spec.memory_gb * per)
+        self.feasibility.add_worker(spec)
         self._capacity_changed()
 
     def lose_worker(self, worker_id: str) -> list[str]:
@@ -202,7 +155,7 @@
 
     def _capacity_changed(self) -> None:
         """Take the shortfall of new capacity or rules as the new bound."""
-        self._checked.clear()
+        self.feasibility.forget()
         self.allowed_shortfall = self.ledger.potential_shortfall()
 
     def risks(self) -> list[Risk]:
@@ -214,86 +167,7 @@
     def check(self, spec: JobSpec) -> Refusal | None:
         """Return why the job can never run in this zone, or ``None``."""
         customer = self.customers.get(spec.customer)
-        if customer is not None:
-            refusal = self._check_quota(spec, customer)
-            if refusal is not None:
-                return refusal
-        shape = (
-            spec.tasks,
-            spec.accelerators,
-            spec.cores,
-            spec.memory_gb,
-            spec.adjacency,
-        )
-        if shape not in self._checked:
-            if len(self._checked) >= CHECKED_SHAPES:
-                self._checked.clear()
-            self._checked[shape] = self._check_shape(spec)
-        return self._checked[shape]
-
-    def _check_shape(self, spec: JobSpec) -> Refusal | None:
-        if spec.accelerators == 0:
-            return self._check_cores(spec)
-        return self._check_cells(spec, self._cell_size(spec))
-
-    def _check_quota(
-        self, spec: JobSpec, customer: Customer
-    ) -> Refusal | None:
-        quota = customer.quota_accelerators
-        needed = spec.tasks * self._cell_size(spec)
-        if quota is not None and needed > quota:
-            return Refusal(
-                f"needs {needed} accelerators, the quota of"
-                f" {spec.customer} is {quota}"
-            )
-        cores = customer.quota_cores
-        if cores is not None and spec.tasks * spec.cores > cores:
-            return Refusal(
-                f"needs {spec.tasks * spec.cores:g} cores, the quota of"
-                f" {spec.customer} is {cores:g}"
-            )
-        return None
-
-    def _check_cores(self, spec: JobSpec) -> Refusal | None:
-        request = CoreRequest(spec.cores, spec.memory_gb)
-        most = self.cores.most_tasks(request, spec.adjacency)
-        if most >= spec.tasks:
-            return None
-        return Refusal(
-            f"needs {spec.tasks} tasks of {spec.cores:g} cores and"
-            f" {spec.memory_gb:g} GB within one {spec.adjacency.value},"
-            f" the most anywhere is {most}"
-        )
-
-    def _check_cells(self, spec: JobSpec, size: int) -> Refusal | None:
-        if size > SIZES[-1]:
-            return Refusal(f"a cell of {size} accelerators exists nowhere")
-        most = 0
-        groups: dict[object, int] = {}
-        for worker in self.cells.workers.values():
-            room = sum(root // size for _, root in worker.roots)
-            group: object = 0
-            if spec.adjacency is Adjacency.RACK:
-                group = worker.spec.rack
-            elif spec.adjacency is Adjacency.WORKER:
-                group = worker.spec.worker_id
-            groups[group] = groups.get(group, 0) + room
-            most = max(most, groups[group])
-        if most < spec.tasks:
-            return Refusal(
-                f"needs {spec.tasks} cells of {size} accelerators within one"
-                f" {spec.adjacency.value}, the most anywhere is {most}"
-            )
-        return None
-
-    def _cell_size(self, spec: JobSpec) -> int:
-        """Return the cell one task needs for accelerators, cores, memory."""
-        if spec.accelerators == 0:
-            return 0
-        by_cores = spec.cores / self._share_cores
-        by_memory = spec.memory_gb / self._share_memory
-        needed = max(float(spec.accelerators), by_cores, by_memory)
-        return round_up_cell(int(-(-needed // 1)))
+        return self.feasibility.check(spec, customer)
 
     def submit(
         self, spec: JobSpec, now: float, attained_s: float = 0.0
@@ -301,7 +175,9 @@
         """Add a job that ``check`` accepts to the queue."""
         if spec.job_id in self.jobs:
             return
-        job = JobView(spec, now, self._cell_size(spec), attained_s=attained_s)
+        job = JobView(
+            spec, now, self.feasibility.cell_size(spec), attained_s=attained_s
+        )
         self.jobs[spec.job_id] = job
         self._enqueue(job, now)
 
@@ -326,7 +202,7 @@
         Used while state is rebuilt from the table's rows. The cells are held
         as borrowed unless the customer's guarantee can still take them.
         """
-        job = JobView(spec, submitted, self._cell_size(spec))
+        job = JobView(spec, submitted, self.feasibility.cell_size(spec))
         job.attempt = attempt
         job.started_at = started_at
         running = started_at is not None
--- a/hickorywing/zonecontroller.py
+++ b/hickorywing/zonecontroller.py
@@ -52,12 +52,12 @@
 from hickorywing.policy.homes import plan_moves
 from hickorywing.policy.homes import WaitingJob
 from hickorywing.policy.homes import ZoneDigest
+from hickorywing.policy.jobview import JobState
+from hickorywing.policy.jobview import JobView
 from hickorywing.policy.membership import Membership
 from hickorywing.policy.membership import Presence
 from hickorywing.policy.permit import MemberState
 from hickorywing.policy.register import ConfigurationRegister
-from hickorywing.policy.scheduler import JobState
-from hickorywing.policy.scheduler import JobView
 from hickorywing.policy.scheduler import ZoneScheduler
 from hickorywing.rules import allot_guarantees
 from hickorywing.table import Check
--- a/tools/zonefake.py
+++ b/tools/zonefake.py
@@ -23,12 +23,12 @@
 from hickorywing.policy.homes import plan_moves
 from hickorywing.policy.homes import WaitingJob
 from hickorywing.policy.homes import ZoneDigest
+from hickorywing.policy.jobview import JobState
+from hickorywing.policy.jobview import JobView
 from hickorywing.policy.model import Customer
 from hickorywing.policy.model import Guarantee
 from hickorywing.policy.model import JobSpec
 from hickorywing.policy.model import WorkerSpec
-from hickorywing.policy.scheduler import JobState
-from hickorywing.policy.scheduler import JobView
 from hickorywing.policy.scheduler import SchedulerOptions
 from hickorywing.policy.scheduler import ZoneScheduler
 
