Give the last untyped functions their types

Cause: five functions had an exemption from the linter instead of a type, and a truncated answer was outside the package's family of exceptions. Change: types, and TruncatedAnswer is a HickorywingError; a list that was filled and never read is gone. No behaviour changed.

--- a/hickorywing/dispatch.py
+++ b/hickorywing/dispatch.py
@@ -11,11 +11,13 @@
 import enum
 
 from blacksheep import Content
+from blacksheep import Headers
 from blacksheep import Request
 from blacksheep import Response
 from blacksheep.client import ClientSession
 import msgspec
 
+from hickorywing.errors import HickorywingError
 from hickorywing.metrics import Metrics
 from hickorywing.policy.claims import Admission
 from hickorywing.policy.claims import AdmissionBook
@@ -91,7 +93,7 @@
     run: str
 
 
-class TruncatedAnswer(Exception):  # noqa: N818
+class TruncatedAnswer(HickorywingError):  # noqa: N818
     """Reports a body shorter or longer than its header says."""
 
 
@@ -102,7 +104,7 @@
     granted: asyncio.Future[bool]
 
 
-def hop_headers(headers) -> list[tuple[bytes, bytes]]:  # noqa: ANN001
+def hop_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Return the headers that may be passed on."""
     return [
         (name, value)
--- a/hickorywing/keyed.py
+++ b/hickorywing/keyed.py
@@ -19,6 +19,7 @@
 from hickorywing.routing import RoutedRequest
 from hickorywing.routing import RouteResult
 from hickorywing.table import Check
+from hickorywing.table import Commit
 from hickorywing.table import commit_surely
 from hickorywing.table import Committed
 from hickorywing.table import Conflict
@@ -213,7 +214,7 @@
         self._settle_later(name, None, freed)
         return not_run("the table is not serving", UNSERVED_RETRY_S)
 
-    async def _write(self, row: Row, value: ClaimRow):  # noqa: ANN202
+    async def _write(self, row: Row, value: ClaimRow) -> Commit:
         transaction = Transaction(
             [Check(row.key, row.version)],
             [Write(row.key, msgspec.to_builtins(value))],
--- a/hickorywing/members.py
+++ b/hickorywing/members.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 
 from hickorywing.mailbox import Mailbox
 from hickorywing.messages import Envelope
@@ -237,7 +238,7 @@
             ),
         )
 
-    def _spawn(self, work) -> None:  # noqa: ANN001
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._busy.add(task)
         task.add_done_callback(self._busy.discard)
--- a/hickorywing/policy/scheduler.py
+++ b/hickorywing/policy/scheduler.py
@@ -30,6 +30,7 @@
 from hickorywing.policy.cores import CoreRequest
 from hickorywing.policy.estimates import RunTimeEstimates
 from hickorywing.policy.feasibility import Feasibility
+from hickorywing.policy.guarantees import GuaranteedCell
 from hickorywing.policy.guarantees import GuaranteeLedger
 from hickorywing.policy.guarantees import Risk
 from hickorywing.policy.jobview import JobState
@@ -220,7 +221,6 @@
     def _rebind(self, spec: JobSpec, cells: list[Cell]) -> bool:
         """Bind a customer's guarantee around cells that already run."""
         owned = self.ledger.cells.get(spec.customer, [])
-        plan: list[tuple[object, Cell]] = []
         for cell in cells:
             owner = next(
                 (
@@ -240,10 +240,11 @@
                 self.ledger.release_job(spec.customer, spec.job_id)
                 return False
             self.ledger.use(owner, spec.job_id)
-            plan.append((owner, cell))
         return True
 
-    def _bind_around(self, owned: list, cell: Cell):  # noqa: ANN202
+    def _bind_around(
+        self, owned: list[GuaranteedCell], cell: Cell
+    ) -> GuaranteedCell | None:
         worker = self.cells.workers[cell.worker_id]
         for item in owned:
             if item.bound is not None or item.size < cell.size:
--- a/hickorywing/web.py
+++ b/hickorywing/web.py
@@ -103,7 +103,7 @@
     def install_signal_handlers(self) -> None:
         """Install nothing."""
 
-    def capture_signals(self):  # noqa: ANN201
+    def capture_signals(self) -> contextlib.AbstractContextManager[None]:
         """Capture nothing."""
         return contextlib.nullcontext()
 
