--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -16,7 +16,9 @@
 from pathlib import Path
 import random
 import re
+import resource
 import shutil
+import subprocess
 import sys
 import time
 
@@ -59,6 +61,7 @@
 __all__ = ["Slope", "main"]
 
 TASKS_PER_WORKER = 9.3
+EXAMPLE = Path(__file__).parent.parent / "examples" / "cooperative"
 SETTLE_S = 6.0
 WATCH_S = 8.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -369,13 +372,43 @@
     ]
 
 
-async def watch_system(size: int) -> dict[str, float]:
+async def measure_entries(sizes: list[int]) -> list[Slope]:
+    """Measure a plain agent over the entries that it greets."""
+    cpu, sent, memory = [], [], []
+    for size in sizes:
+        found = await watch_system(2, size)
+        cpu.append(found["agent_cpu"])
+        sent.append(found["agent_bytes"])
+        memory.append(found["agent_mb"])
+    return [
+        Slope("plain agent processor over entries", "% core", sizes, cpu),
+        Slope("agent bytes out over entries", "B/s", sizes, sent),
+        Slope("agent memory over entries", "MB", sizes, memory),
+    ]
+
+
+def measure_command() -> None:
+    """Print what one run of the operator's command takes."""
+    command = [sys.executable, "-c", "from hickorywing.ui import main; main()"]
+    files = sorted(str(path) for path in EXAMPLE.iterdir())
+    before = resource.getrusage(resource.RUSAGE_CHILDREN)
+    subprocess.run([*command, "check", *files], check=True)
+    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    spent = after.ru_utime + after.ru_stime
+    spent -= before.ru_utime + before.ru_stime
+    print(
+        f"operator's command: {spent:.2f} s, {after.ru_maxrss / 1024:.0f} MB"
+    )
+
+
+async def watch_system(size: int, entries: int = 2) -> dict[str, float]:
     """Start a zone of idle agents and watch its processes."""
     folder = Path("out/slopes")
     shutil.rmtree(folder, ignore_errors=True)
     ids = [f"w{number:02d}" for number in range(size)]
     plan = Plan(
         zones=["z"],
+        entries=entries,
         workers=[(worker_id, "z") for worker_id in ids],
         operator_sha256=hash_token("op"),
     )
@@ -458,6 +491,9 @@
         slopes += await measure_links()
     if "decisions" in parts:
         slopes += measure_decisions(seed)
+    if "entries" in parts:
+        measure_command()
+        slopes += await measure_entries([1, 2, 4, 8])
     if "processes" in parts:
         slopes += await measure_processes([2, 4, 8, 16, 24])
     return slopes
@@ -471,8 +507,8 @@
     parser.add_argument(
         "--parts",
         nargs="+",
-        default=["direct", "decisions", "processes"],
-        choices=["direct", "decisions", "processes"],
+        default=["direct", "decisions", "entries", "processes"],
+        choices=["direct", "decisions", "entries", "processes"],
     )
     options = parser.parse_args()
     structlog.configure(
