Look a job up when the answer to its commit was lost twice

The commit's answer was lost, the zone's controller placed the job before the retry, and the row's nonce was then the controller's, so the entry no longer knew its own write. Ruled out: the table stand-in (it lost just the answers it was told to) and a second submission (the row carried the same job). Change: a submission in doubt reads its row; the same job under the same id is accepted. An absent row or no answer stays 'unknown'. Before: tests/test_jobapi.py gives 504. After: 201; the test of lost answers with real processes passes, one run. Conclusion: a true answer where a vague one stood; no check was eased.

--- a/hickorywing/jobapi.py
+++ b/hickorywing/jobapi.py
@@ -210,17 +210,28 @@
         if isinstance(answer, Conflict):
             return self._answer_repeat(answer.rows[0], spec)
         if isinstance(answer, Unknown):
-            return answer_problem(
-                Problem(
-                    "outcome unknown",
-                    504,
-                    f"look up {spec.job_id}",
-                    "unknown",
-                    TABLE_RETRY_S,
-                )
-            )
+            return await self._answer_doubtful(spec)
         return answer_problem(table_problem())
 
+    async def _answer_doubtful(self, spec: JobSpec) -> Response:
+        """Look up whether a job whose commit is in doubt was accepted.
+
+        The zone's controller may have written the row since, so its nonce
+        tells nothing; the same job under the same id does.
+        """
+        try:
+            row = await self.table.read(job_key(spec.job_id))
+        except TableUnavailable:
+            return answer_problem(unknown_problem(spec.job_id))
+        if row.value is None:
+            return answer_problem(unknown_problem(spec.job_id))
+        known = JobRow.from_value(row.value)
+        if known.to_spec() != spec:
+            return self._answer_repeat(row, spec)
+        self.metrics.count("jobs_accepted")
+        self.notify(known.home, spec.job_id)
+        return answer_json(201, view_job(known))
+
     def _answer_repeat(self, row: Row, spec: JobSpec) -> Response:
         known = JobRow.from_value(row.value)
         if known.to_spec() != spec:
@@ -360,6 +371,17 @@
     )
 
 
+def unknown_problem(job_id: str) -> Problem:
+    """Return the answer when a job may or may not have been accepted."""
+    return Problem(
+        "outcome unknown",
+        504,
+        f"look up {job_id}",
+        "unknown",
+        TABLE_RETRY_S,
+    )
+
+
 def forbid(detail: str) -> Response:
     """Return the refusal for a caller of the wrong role."""
     return answer_problem(Problem("not allowed", 403, detail))
