--- /dev/null
+++ b/hickorywing/__main__.py
@@ -0,0 +1,32 @@
+"""Run one of the programs: ``python3 -m hickorywing PROGRAM ...``."""
+
+import importlib
+import sys
+
+PROGRAMS = {
+    "agent": "hickorywing.agent",
+    "entry": "hickorywing.entry",
+    "pool-agent": "hickorywing.poolagent",
+    "pool-entry": "hickorywing.poolentry",
+    "standin": "hickorywing.standins.program",
+}
+USAGE_ERROR = 2
+
+
+def main() -> None:
+    """Run the program that the first argument names."""
+    name = sys.argv[1] if len(sys.argv) > 1 else ""
+    if name not in PROGRAMS:
+        print(
+            f"usage: hickorywing {'|'.join(sorted(PROGRAMS))} ...",
+            file=sys.stderr,
+        )
+        sys.exit(USAGE_ERROR)
+    # Only the chosen program's libraries are loaded.
+    module = importlib.import_module(PROGRAMS[name])
+    sys.argv = [f"hickorywing-{name}", *sys.argv[2:]]
+    module.main()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hickorywing/agentlink.py
@@ -0,0 +1,222 @@
+"""A controller's connection to one agent and the worker beside it."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from hickorywing.clock import now_s
+from hickorywing.httpclient import CallError
+from hickorywing.httpclient import HttpClient
+from hickorywing.orders import Order
+from hickorywing.orders import OrderAnswer
+from hickorywing.orders import OrderOutcome
+from hickorywing.orders import StartOrder
+from hickorywing.orders import StopOrder
+from hickorywing.orders import WatchOrder
+from hickorywing.orders import WorkerReport
+
+__all__ = ["AgentLink", "LinkTerms"]
+
+# An order passes one link and is answered by the worker within its own limit.
+ORDER_TIMEOUT_S = 1.2
+# A watch is answered when there is news, or after this time.
+BUSY_WATCH_S = 1.0
+IDLE_WATCH_S = 2.0
+WATCH_SLACK_S = 0.7
+RETRY_S = 0.2
+# A worker's clock may run this much slower than the controller's.
+CLOCK_SLOWNESS = 0.02
+# Time for an order to reach the worker before it is no longer carried out.
+ORDER_LIFE_MS = 1500
+CONTENT_TYPE = "application/x-msgpack"
+
+
+@dataclass(frozen=True, slots=True)
+class LinkTerms:
+    """What all links of one term of a controller share."""
+
+    pool: str
+    epoch: int
+    lease_limit_s: float
+    may_renew: Callable[[], bool]
+
+
+class AgentLink:
+    """Watches one worker and passes orders to it.
+
+    ``report`` is the latest report and ``heard_s`` the moment at which the
+    call that brought it was sent. ``lease_end_s`` is the latest moment at
+    which the worker can still be running anything for this controller.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        terms: LinkTerms,
+        http: HttpClient,
+        reported: Callable[["AgentLink", WorkerReport], None],
+    ) -> None:
+        self.address = address
+        self.report: WorkerReport | None = None
+        self.heard_s: float | None = None
+        self.noted = 0
+        self.busy = False
+        # Leases that an earlier controller granted may run this long.
+        self.lease_end_s = now_s() + self._longest(terms.lease_limit_s)
+        self._terms = terms
+        self._http = http
+        self._reported = reported
+        self._received_s = 0.0
+        self._wake = asyncio.Event()
+
+    @staticmethod
+    def _longest(lease_s: float) -> float:
+        return lease_s / (1 - CLOCK_SLOWNESS)
+
+    @property
+    def worker(self) -> str:
+        """Return the worker's incarnation, empty while it is unknown."""
+        return "" if self.report is None else self.report.worker
+
+    def silent_s(self) -> float:
+        """Return for how long nothing has been heard."""
+        if self.heard_s is None:
+            return float("inf")
+        return now_s() - self.heard_s
+
+    def clock_ms(self) -> int:
+        """Estimate the worker's clock from its latest report."""
+        if self.report is None or not self.report.clock_ms:
+            return 0
+        elapsed_s = now_s() - self._received_s
+        return self.report.clock_ms + int(elapsed_s * 1000)
+
+    def lease_ms(self) -> int:
+        """Grant a lease from now on; return its end on the worker's clock."""
+        clock_ms = self.clock_ms()
+        if not clock_ms or not self._terms.may_renew():
+            return 0
+        self.lease_end_s = now_s() + self._longest(self._terms.lease_limit_s)
+        return clock_ms + int(self._terms.lease_limit_s * 1000)
+
+    def note(self, number: int) -> None:
+        """Let the worker forget its ends up to a number."""
+        if number > self.noted:
+            self.noted = number
+            self._wake.set()
+
+    def set_busy(self, busy: bool) -> None:
+        """Tell whether this controller has work at the worker."""
+        if busy and not self.busy:
+            self._wake.set()
+        self.busy = busy
+
+    async def run(self) -> None:
+        """Watch the worker until cancelled."""
+        while True:
+            answered = await self._watch_once()
+            if not answered:
+                await asyncio.sleep(RETRY_S)
+
+    async def _watch_once(self) -> bool:
+        """Send one watch; a wish to tell the agent something ends it early."""
+        self._wake.clear()
+        sent_s = now_s()
+        watch = asyncio.ensure_future(self._watch())
+        wake = asyncio.ensure_future(self._wake.wait())
+        try:
+            await asyncio.wait(
+                (watch, wake), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not watch.done():
+                return True
+            report = watch.result()
+        finally:
+            watch.cancel()
+            wake.cancel()
+        if report is None:
+            return False
+        self._take(report, sent_s)
+        return True
+
+    def _take(self, report: WorkerReport, sent_s: float) -> None:
+        if self.report is None or report.worker != self.report.worker:
+            self.noted = 0
+        self.report = report
+        self.heard_s = sent_s
+        self._received_s = now_s()
+        self._reported(self, report)
+
+    async def _watch(self) -> WorkerReport | None:
+        fresh = self.report is None
+        wait_s = BUSY_WATCH_S if self.busy else IDLE_WATCH_S
+        order = WatchOrder(
+            pool=self._terms.pool,
+            epoch=self._terms.epoch,
+            worker=self.worker,
+            lease_ms=self.lease_ms() if self.busy else 0,
+            seen=0 if self.report is None else self.report.number,
+            noted=self.noted,
+            busy=self.busy,
+            wait_s=0.0 if fresh else wait_s,
+        )
+        return await self._call(
+            "watch", order, order.wait_s + WATCH_SLACK_S, WorkerReport
+        )
+
+    async def start(
+        self, worker: str, task: str, run: int, payload: str, saved: str
+    ) -> OrderAnswer:
+        """Order a start; no answer is ``UNKNOWN``."""
+        clock_ms = self.clock_ms()
+        return await self._order(
+            "start",
+            StartOrder(
+                pool=self._terms.pool,
+                epoch=self._terms.epoch,
+                worker=worker,
+                lease_ms=self.lease_ms(),
+                task=task,
+                run=run,
+                payload=payload,
+                saved=saved,
+                expires_ms=clock_ms + ORDER_LIFE_MS,
+            ),
+        )
+
+    async def stop(self, worker: str, task: str, run: int) -> OrderAnswer:
+        """Order a stop; no answer is ``UNKNOWN``."""
+        return await self._order(
+            "stop",
+            StopOrder(
+                pool=self._terms.pool,
+                epoch=self._terms.epoch,
+                worker=worker,
+                task=task,
+                run=run,
+            ),
+        )
+
+    async def _order(self, call: str, order: Order) -> OrderAnswer:
+        answer = await self._call(call, order, ORDER_TIMEOUT_S, OrderAnswer)
+        return answer or OrderAnswer(OrderOutcome.UNKNOWN)
+
+    async def _call(
+        self, call: str, order: Order, timeout_s: float, answer_type: type
+    ) -> object:
+        """Return the decoded answer, or ``None`` if there is none."""
+        try:
+            answer = await self._http.call(
+                "POST",
+                f"http://{self.address}/{call}",
+                timeout_s,
+                msgspec.msgpack.encode(order),
+                content_type=CONTENT_TYPE,
+            )
+            if answer.status != 200:
+                return None
+            return msgspec.msgpack.decode(answer.body, type=answer_type)
+        except (CallError, msgspec.DecodeError):
+            return None
--- /dev/null
+++ b/hickorywing/committer.py
@@ -0,0 +1,159 @@
+"""Write a controller's decisions to the store, many in one transaction.
+
+Every transaction demands that the controller's epoch is the newest, so a
+controller that was replaced changes nothing. While a transaction is under way
+further decisions gather for the next one, so that a slow store gets larger
+transactions and not more of them.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import epoch_key
+from hickorywing.poollease import PoolLease
+from hickorywing.rows import Committed
+from hickorywing.rows import Mismatch
+from hickorywing.rows import RowExpectation
+from hickorywing.rows import RowKey
+from hickorywing.rows import RowStore
+from hickorywing.rows import RowTransaction
+from hickorywing.rows import RowWrite
+from hickorywing.rows import Unknown
+
+__all__ = ["Committer"]
+
+# The store takes 100 entries a transaction; one is the epoch's expectation,
+# and each row counts as an expectation and a write.
+ROWS_PER_COMMIT = 45
+RETRY_S = 0.1
+LAST_RETRY_S = 0.5
+
+Encode = Callable[[], bytes]
+Stored = Callable[[], None]
+
+
+class Committer:
+    """Keeps rows equal to what a controller wants them to hold."""
+
+    def __init__(
+        self, lease: PoolLease, store: RowStore, log: DecisionLog
+    ) -> None:
+        self.versions: dict[RowKey, int] = {}
+        self._lease = lease
+        self._store = store
+        self._log = log
+        self._dirty: dict[RowKey, tuple[Encode, list[Stored]]] = {}
+        self._wake = asyncio.Event()
+        self._busy_since_s: float | None = None
+
+    def stuck_s(self) -> float:
+        """Return for how long the present transaction has been tried."""
+        if self._busy_since_s is None:
+            return 0.0
+        return now_s() - self._busy_since_s
+
+    def put(
+        self, key: RowKey, encode: Encode, stored: Stored | None = None
+    ) -> None:
+        """Ask for a row to be written; its value is taken when it is sent.
+
+        ``stored`` is called once a value that was taken after this call has
+        been committed.
+        """
+        waiting = self._dirty.get(key)
+        callbacks = [] if waiting is None else waiting[1]
+        if stored is not None:
+            callbacks.append(stored)
+        self._dirty[key] = (encode, callbacks)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Write what is asked for until the role is lost."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            # Lets decisions of the same moment share one transaction.
+            await asyncio.sleep(0)
+            while self._dirty:
+                if not await self._write_some():
+                    return
+
+    async def _write_some(self) -> bool:
+        batch = {
+            key: self._dirty.pop(key)
+            for key in list(self._dirty)[:ROWS_PER_COMMIT]
+        }
+        values = {key: encode() for key, (encode, _) in batch.items()}
+        self._busy_since_s = now_s()
+        version = await self._commit(values)
+        self._busy_since_s = None
+        if version is None:
+            return False
+        for _, callbacks in batch.values():
+            for stored in callbacks:
+                stored()
+        return True
+
+    async def _commit(self, values: dict[RowKey, bytes]) -> int | None:
+        """Write until it is done; ``None`` when the role is lost."""
+        pause_s = RETRY_S
+        doubtful = False
+        while True:
+            answer = await self._store.commit(self._transaction(values))
+            if isinstance(answer, Committed):
+                self.versions.update(dict.fromkeys(values, answer.version))
+                return answer.version
+            if isinstance(answer, Mismatch):
+                if not self._still_ours(answer):
+                    return None
+                if self._adopt(answer, values) and doubtful:
+                    return answer.rows[0].version
+                continue
+            doubtful = doubtful or isinstance(answer, Unknown)
+            self._log.write(
+                "commit failed",
+                outcome=type(answer).__name__.lower(),
+                rows=len(values),
+                tried_s=round(self.stuck_s(), 3),
+            )
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, LAST_RETRY_S)
+
+    def _transaction(self, values: dict[RowKey, bytes]) -> RowTransaction:
+        expects = [self._lease.expectation()]
+        expects.extend(
+            RowExpectation(key, self.versions.get(key, 0)) for key in values
+        )
+        return RowTransaction(
+            tuple(expects),
+            tuple(RowWrite(key, value) for key, value in values.items()),
+        )
+
+    def _still_ours(self, mismatch: Mismatch) -> bool:
+        """Tell whether the epoch is still this controller's."""
+        row = mismatch.find(epoch_key(self._lease.pool))
+        epoch = 0
+        if row is not None and row.value is not None:
+            epoch = msgspec.msgpack.decode(row.value, type=int)
+        if epoch != self._lease.epoch:
+            self._lease.surrender(f"the store has epoch {epoch}")
+            return False
+        self._lease.adopt_epoch_version(row.version)
+        return True
+
+    def _adopt(self, mismatch: Mismatch, values: dict[RowKey, bytes]) -> bool:
+        """Take the rows' present versions; tell whether all are written.
+
+        Only the holder of the newest epoch writes these rows, so a row that
+        differs from what was expected is an earlier try of this transaction.
+        """
+        written = True
+        for key, value in values.items():
+            row = mismatch.find(key)
+            self.versions[key] = 0 if row is None else row.version
+            written = written and row is not None and row.value == value
+        return written
--- /dev/null
+++ b/hickorywing/jobdesk.py
@@ -0,0 +1,156 @@
+"""Accept, cancel and answer for jobs at an entry.
+
+One conditional row makes a job accepted. When the answer of that write is
+lost, the job may still be accepted later, so the outcome is unknown and never
+a refusal.
+"""
+
+from dataclasses import dataclass
+import enum
+
+from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import cancel_key
+from hickorywing.jobrows import encode_job
+from hickorywing.jobrows import job_key
+from hickorywing.metrics import Metrics
+from hickorywing.policy.poolmodel import PoolJob
+from hickorywing.policy.poolruns import JobStatus
+from hickorywing.rows import commit_until
+from hickorywing.rows import Committed
+from hickorywing.rows import Mismatch
+from hickorywing.rows import Refused
+from hickorywing.rows import RowExpectation
+from hickorywing.rows import RowStore
+from hickorywing.rows import RowTransaction
+from hickorywing.rows import RowWrite
+from hickorywing.rows import StoreUnavailable
+from hickorywing.statuscache import StatusCache
+
+__all__ = ["Answer", "JobDesk", "Outcome"]
+
+# The store's usual outages last a few seconds; asking sooner only adds load.
+COME_BACK_S = 1.0
+
+
+class Outcome(enum.StrEnum):
+    """What became of a caller's request."""
+
+    DONE = "done"
+    UNKNOWN_JOB = "unknown job"
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The answer to a caller's request."""
+
+    outcome: Outcome
+    status: JobStatus | None = None
+    waiting: int | None = None
+    retry_after_s: float | None = None
+
+
+class JobDesk:
+    """What callers may ask of an entry."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        cache: StatusCache,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self._store = store
+        self._cache = cache
+        self._log = log
+        self._metrics = metrics
+
+    async def submit(self, job: PoolJob, patience_s: float) -> Answer:
+        """Accept a job, or tell that it was not or may not be accepted."""
+        started_s = now_s()
+        pool = job.terms.pool
+        key = job_key(pool, job.job_id)
+        transaction = RowTransaction(
+            (RowExpectation(key, 0),), (RowWrite(key, encode_job(job)),)
+        )
+        result = await commit_until(self._store, transaction, patience_s)
+        if isinstance(result, Mismatch) and result.find(key) is None:
+            result = Refused()
+        outcome = read_outcome(result)
+        if outcome is Outcome.DONE:
+            self._cache.note_accepted(pool, job.job_id)
+        took_s = now_s() - started_s
+        self._metrics.observe("accept_seconds", took_s, outcome=outcome)
+        self._log.write(
+            "job submitted",
+            job=job.job_id,
+            queue=job.terms.queue,
+            customer=job.customer,
+            store=type(result).__name__.lower(),
+            outcome=outcome,
+            took_s=round(took_s, 3),
+        )
+        return answer_outcome(outcome)
+
+    async def cancel(
+        self, pool: str, job_id: str, patience_s: float
+    ) -> Answer:
+        """Cancel a job.
+
+        The row is written even if no such job is known: a submission whose
+        answer was lost may still be accepted, and is then cancelled.
+        """
+        key = cancel_key(pool, job_id)
+        transaction = RowTransaction(
+            (RowExpectation(key, 0),), (RowWrite(key, b""),)
+        )
+        result = await commit_until(self._store, transaction, patience_s)
+        outcome = read_outcome(result)
+        if outcome is Outcome.DONE:
+            try:
+                if not await self._cache.exists(pool, job_id):
+                    outcome = Outcome.UNKNOWN_JOB
+            except StoreUnavailable:
+                outcome = Outcome.UNKNOWN
+        self._log.write("cancel asked", job=job_id, outcome=outcome)
+        return answer_outcome(outcome)
+
+    async def find_status(self, pool: str, job_id: str) -> Answer:
+        """Return a job's status."""
+        try:
+            status = await self._cache.find(pool, job_id)
+        except StoreUnavailable as error:
+            self._log.write("status not known", job=job_id, error=str(error))
+            return answer_outcome(Outcome.NOT_RUN)
+        if status is None:
+            self._log.write("no such job", job=job_id)
+            return Answer(Outcome.UNKNOWN_JOB)
+        return Answer(Outcome.DONE, status=status)
+
+    async def count_waiting(self, pool: str, queue: str) -> Answer:
+        """Return how many jobs of a queue have not begun."""
+        try:
+            count = await self._cache.count_waiting(pool, queue)
+        except StoreUnavailable:
+            return answer_outcome(Outcome.NOT_RUN)
+        return Answer(Outcome.DONE, waiting=count)
+
+
+def read_outcome(result: object) -> Outcome:
+    """Return what a conditional write of a new row means for the caller.
+
+    A row that is there already is an earlier try of the same request.
+    """
+    if isinstance(result, Committed | Mismatch):
+        return Outcome.DONE
+    if isinstance(result, Refused):
+        return Outcome.NOT_RUN
+    return Outcome.UNKNOWN
+
+
+def answer_outcome(outcome: Outcome) -> Answer:
+    """Return the answer for an outcome."""
+    not_run = outcome is Outcome.NOT_RUN
+    return Answer(outcome, retry_after_s=COME_BACK_S if not_run else None)
--- /dev/null
+++ b/hickorywing/jobrows.py
@@ -0,0 +1,210 @@
+"""The rows that a pool keeps in the store.
+
+All rows of a pool share one partition, so that a controller's transaction can
+demand that its epoch is still the newest.
+
+==========  ==================  ============================  ==============
+table       key                 value                         written by
+==========  ==================  ============================  ==============
+requests    ``job/ID``          the accepted job              an entry, once
+requests    ``cancel/ID``       empty                         an entry, once
+progress    ``ID``              status, runs and their places  controller
+progress    ``~QUEUE``          jobs that have not begun      controller
+leases      ``holder``          who controls the pool         candidates
+leases      ``epoch``           number of the present term    candidates
+agents      the agent's name    its address                   the agent
+==========  ==================  ============================  ==============
+"""
+
+import msgspec
+
+from hickorywing.policy.poolmodel import PoolJob
+from hickorywing.policy.poolruns import Ending
+from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolruns import JobStatus
+from hickorywing.policy.poolruns import Member
+from hickorywing.policy.poolruns import Unit
+from hickorywing.rows import RowKey
+
+__all__ = [
+    "AGENTS",
+    "LEASES",
+    "PROGRESS",
+    "QUEUE_PREFIX",
+    "REQUESTS",
+    "AgentRow",
+    "LeaseRow",
+    "cancel_key",
+    "decode_job",
+    "decode_status",
+    "encode_job",
+    "encode_progress",
+    "epoch_key",
+    "job_key",
+    "lease_key",
+    "progress_key",
+    "queue_key",
+    "restore_progress",
+    "split_request_key",
+]
+
+REQUESTS = "requests"
+PROGRESS = "progress"
+LEASES = "leases"
+AGENTS = "agents"
+JOB_PREFIX = "job/"
+CANCEL_PREFIX = "cancel/"
+QUEUE_PREFIX = "~"
+
+
+class AgentRow(msgspec.Struct, array_like=True):
+    """How an agent is reached, and whose workers are beside it."""
+
+    address: str
+    zone: str
+    pool: str
+
+
+class LeaseRow(msgspec.Struct, array_like=True):
+    """Who controls a pool; an empty holder has released it."""
+
+    holder: str
+    epoch: int
+    renewal: int
+
+
+class UnitRow(msgspec.Struct, array_like=True):
+    """A unit that was started at least once.
+
+    ``members`` holds the task's index, the worker and the ending, empty while
+    the member may be at work.
+    """
+
+    occurrence: int
+    step: int
+    first: int
+    run: int
+    failures: int
+    done: bool
+    saved: str
+    members: list[tuple[int, str, str]]
+
+
+class ProgressRow(msgspec.Struct, array_like=True):
+    """All that is kept of a job besides the job itself."""
+
+    status: JobStatus
+    finished: list[int] = []
+    units: list[UnitRow] = []
+
+
+def job_key(pool: str, job_id: str) -> RowKey:
+    """Return the key of an accepted job."""
+    return RowKey(REQUESTS, pool, JOB_PREFIX + job_id)
+
+
+def cancel_key(pool: str, job_id: str) -> RowKey:
+    """Return the key of a job's cancelling."""
+    return RowKey(REQUESTS, pool, CANCEL_PREFIX + job_id)
+
+
+def progress_key(pool: str, job_id: str) -> RowKey:
+    """Return the key of a job's progress."""
+    return RowKey(PROGRESS, pool, job_id)
+
+
+def queue_key(pool: str, queue: str) -> RowKey:
+    """Return the key of a queue's count of jobs that have not begun."""
+    return RowKey(PROGRESS, pool, QUEUE_PREFIX + queue)
+
+
+def lease_key(pool: str) -> RowKey:
+    """Return the key of a pool's lease."""
+    return RowKey(LEASES, pool, "holder")
+
+
+def epoch_key(pool: str) -> RowKey:
+    """Return the key of a pool's epoch, which changes only at a takeover."""
+    return RowKey(LEASES, pool, "epoch")
+
+
+def split_request_key(key: str) -> tuple[str, bool]:
+    """Return the job of a row in ``requests``, and whether it is accepted.
+
+    The other rows of that table cancel a job.
+    """
+    if key.startswith(JOB_PREFIX):
+        return key.removeprefix(JOB_PREFIX), True
+    return key.removeprefix(CANCEL_PREFIX), False
+
+
+def encode_job(job: PoolJob) -> bytes:
+    """Return the value of an accepted job's row."""
+    return msgspec.msgpack.encode(job)
+
+
+def decode_job(value: bytes) -> PoolJob:
+    """Return the job in a row; raise ``msgspec.DecodeError``."""
+    return msgspec.msgpack.decode(value, type=PoolJob)
+
+
+def encode_progress(state: JobState) -> bytes:
+    """Return the value of a job's progress row."""
+    units = [
+        UnitRow(
+            unit.occurrence,
+            unit.step,
+            unit.first,
+            unit.run,
+            unit.failures,
+            unit.done,
+            unit.saved,
+            []
+            if unit.done
+            else [
+                (item.index, item.worker, item.ending or "")
+                for item in unit.members
+            ],
+        )
+        for unit in state.units.values()
+        if unit.run
+    ]
+    return msgspec.msgpack.encode(
+        ProgressRow(state.status, sorted(state.finished), units)
+    )
+
+
+def decode_status(value: bytes) -> JobStatus:
+    """Return the status in a progress row."""
+    return msgspec.msgpack.decode(value, type=ProgressRow).status
+
+
+def restore_progress(state: JobState, value: bytes, now_s: float) -> None:
+    """Set a job's state to what its progress row holds."""
+    row = msgspec.msgpack.decode(value, type=ProgressRow)
+    state.status = row.status
+    state.finished = set(row.finished)
+    for item in row.units:
+        key = (item.occurrence, item.step, item.first)
+        if key not in state.units:
+            state.open_occurrence(item.occurrence, now_s)
+        restore_unit(state.units[key], item)
+
+
+def restore_unit(unit: Unit, row: UnitRow) -> None:
+    """Set a unit to what its row holds.
+
+    Start orders of earlier controllers may still be under way, so each open
+    member counts as tried once.
+    """
+    unit.run = row.run
+    unit.failures = row.failures
+    unit.done = row.done
+    unit.saved = row.saved
+    unit.committed = True
+    unit.members = [
+        Member(index, worker, Ending(ending) if ending else None, tries=1)
+        for index, worker, ending in row.members
+    ]
+    if unit.running and any(item.ending for item in unit.members):
+        unit.stopping = "another member has ended"
--- /dev/null
+++ b/hickorywing/poolconfig.py
@@ -0,0 +1,143 @@
+"""The configuration as entries and controllers use it, and its age.
+
+A process may act on a configuration only while it knows how old that
+knowledge is: a key that was taken away must stop working within a bound, also
+at a process that hears nothing more.
+"""
+
+from abc import ABC
+from abc import abstractmethod
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from hickorywing.policy.poolmodel import Customer
+from hickorywing.policy.poolmodel import QueueTerms
+
+__all__ = [
+    "Configuration",
+    "ConfigurationSource",
+    "ConfigurationView",
+    "Queue",
+    "RequestLimits",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Bounds on a caller's request, in bytes."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 262144
+
+
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """A place where callers hand in jobs."""
+
+    host: str
+    prefix: str
+    terms: QueueTerms
+    public: bool = False
+    timeout_s: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One version of what the operators want."""
+
+    version: int
+    queues: tuple[Queue, ...] = ()
+    customers: tuple[Customer, ...] = ()
+    limits: RequestLimits = RequestLimits()
+
+
+class ConfigurationView:
+    """What one process believes the configuration and the zones out to be.
+
+    ``proved_s`` is the latest moment, on the process's own clock, at which
+    this was surely the newest state.
+    """
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self.zones_out: frozenset[str] = frozenset()
+        self.proved_s: float | None = None
+        self._by_host: dict[str, list[Queue]] = {}
+        self._by_key: dict[str, Customer] = {}
+        self._guarantees: dict[str, int] = {}
+
+    def accept(self, configuration: Configuration) -> bool:
+        """Take a newer version in; tell whether it was newer."""
+        present = self.configuration
+        if present is not None and configuration.version <= present.version:
+            return False
+        self.configuration = configuration
+        self._by_host = {}
+        for queue in configuration.queues:
+            self._by_host.setdefault(queue.host, []).append(queue)
+        for queues in self._by_host.values():
+            queues.sort(key=lambda queue: -len(queue.prefix))
+        self._by_key = {
+            key: customer
+            for customer in configuration.customers
+            for key in customer.keys
+        }
+        self._guarantees = {
+            customer.name: customer.guaranteed_accelerators
+            for customer in configuration.customers
+            if customer.guaranteed_accelerators is not None
+        }
+        return True
+
+    def set_zone(self, zone: str, out: bool) -> bool:
+        """Take a zone out or back in; tell whether that is a change."""
+        if (zone in self.zones_out) == out:
+            return False
+        self.zones_out = self.zones_out ^ {zone}
+        return True
+
+    def set_zones_out(self, zones: Iterable[str]) -> None:
+        """Replace the set of zones that are out."""
+        self.zones_out = frozenset(zones)
+
+    def prove(self, moment_s: float) -> None:
+        """Note that the state was the newest one at a moment."""
+        if self.proved_s is None or moment_s > self.proved_s:
+            self.proved_s = moment_s
+
+    def age_s(self, now_s: float) -> float:
+        """Return for how long the state may have been out of date."""
+        if self.proved_s is None:
+            return float("inf")
+        return now_s - self.proved_s
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of the path."""
+        for queue in self._by_host.get(host, ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
+
+    def find_customer(self, key: str) -> Customer | None:
+        """Return the customer that a key belongs to."""
+        return self._by_key.get(key)
+
+    def guarantees(self) -> dict[str, int]:
+        """Return the accelerators guaranteed to each customer."""
+        return self._guarantees
+
+    def pools(self) -> frozenset[str]:
+        """Return the pools that any queue sends work to."""
+        if self.configuration is None:
+            return frozenset()
+        return frozenset(
+            queue.terms.pool for queue in self.configuration.queues
+        )
+
+
+class ConfigurationSource(ABC):
+    """Where a view's content comes from."""
+
+    @abstractmethod
+    async def run(self) -> None:
+        """Keep the view up to date until cancelled."""
--- /dev/null
+++ b/hickorywing/poolcontroller.py
@@ -0,0 +1,301 @@
+"""Control one pool: place its jobs' tasks, follow them, store what happened.
+
+The controller runs in the entry that holds the pool's lease. Its state is
+made from rows and from what the workers list, so a successor starts from the
+same state. A run's place is stored before its start is ordered, and an end is
+stored before the worker may forget it.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import time
+
+import msgspec
+
+from hickorywing.agentlink import AgentLink
+from hickorywing.agentlink import LinkTerms
+from hickorywing.clock import now_s
+from hickorywing.committer import Committer
+from hickorywing.decisions import DecisionLog
+from hickorywing.httpclient import HttpClient
+from hickorywing.jobrows import AgentRow
+from hickorywing.jobrows import AGENTS
+from hickorywing.jobrows import decode_job
+from hickorywing.jobrows import PROGRESS
+from hickorywing.jobrows import queue_key
+from hickorywing.jobrows import REQUESTS
+from hickorywing.jobrows import restore_progress
+from hickorywing.jobrows import split_request_key
+from hickorywing.metrics import Metrics
+from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolruns import JobStatus
+from hickorywing.poolconfig import ConfigurationView
+from hickorywing.poollease import LEASE_S
+from hickorywing.poollease import PoolLease
+from hickorywing.rows import HistoryLost
+from hickorywing.rows import RowStore
+from hickorywing.rows import StoredRow
+from hickorywing.rows import StoreUnavailable
+from hickorywing.runcontrol import RunControl
+
+__all__ = ["ControllerTerms", "PoolController"]
+
+RETRY_S = 0.2
+FEED_WAIT_S = 2.0
+AGENT_FEED_WAIT_S = 5.0
+TICK_S = 0.1
+# The lease may lapse before another candidate takes over; until then the
+# agents go on being told that their work may continue. A controller that is
+# cut off from the store learns of its successor from the agents.
+RENEW_UNCONFIRMED_S = 20.0
+COUNT_EVERY_S = 0.5
+
+
+class ControllerTerms(msgspec.Struct, frozen=True):
+    """Bounds of the deployment that a controller keeps, in seconds."""
+
+    lease_limit_s: float
+    config_age_limit_s: float
+
+
+class PoolController:
+    """One candidate for a pool's controller, and the controller itself."""
+
+    def __init__(
+        self,
+        pool: str,
+        name: str,
+        store: RowStore,
+        http: HttpClient,
+        view: ConfigurationView,
+        terms: ControllerTerms,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self.pool = pool
+        self.lease = PoolLease(pool, name, store, log, metrics)
+        self._store = store
+        self._http = http
+        self._view = view
+        self._terms = terms
+        self._log = log
+        self._metrics = metrics
+
+    async def run(self) -> None:
+        """Compete for the pool and control it until cancelled."""
+        await self.lease.run(self._serve)
+
+    async def _serve(self) -> None:
+        """Control the pool for one term."""
+        term = Term(
+            self.lease,
+            self._store,
+            self._http,
+            self._view,
+            self._terms,
+            self._log,
+            self._metrics,
+        )
+        await term.run()
+
+
+class Term:
+    """The controller's state during one term of its lease."""
+
+    def __init__(
+        self,
+        lease: PoolLease,
+        store: RowStore,
+        http: HttpClient,
+        view: ConfigurationView,
+        terms: ControllerTerms,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self._pool = lease.pool
+        self._lease = lease
+        self._store = store
+        self._http = http
+        self._log = log
+        self._links: dict[str, tuple[AgentLink, asyncio.Task[None]]] = {}
+        self._link_terms = LinkTerms(
+            lease.pool, lease.epoch, terms.lease_limit_s, self._may_renew
+        )
+        self._committer = Committer(lease, store, log)
+        self._counts: dict[str, int] = {}
+        self._runs = RunControl(
+            self._pool, lease, view, terms.lease_limit_s,
+            terms.config_age_limit_s, self._committer, log, metrics,
+        )  # fmt: skip
+
+    def _may_renew(self) -> bool:
+        return self._lease.unconfirmed_s() < LEASE_S + RENEW_UNCONFIRMED_S
+
+    async def run(self) -> None:
+        """Load the rows, then follow them until the role is lost."""
+        requests_version = await self._load()
+        parts: list[Coroutine[None, None, None]] = [
+            self._follow(
+                REQUESTS, requests_version, FEED_WAIT_S, self._take_request
+            ),
+            self._follow_agents(),
+            self._committer.run(),
+            self._tick(),
+        ]
+        tasks = [asyncio.ensure_future(part) for part in parts]
+        try:
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            await self._close(tasks)
+
+    async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
+        tasks.extend(watching for _, watching in self._links.values())
+        for task in tasks:
+            task.cancel()
+        self._runs.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _load(self) -> int:
+        """Read all jobs and their progress; return the version to follow."""
+        while True:
+            try:
+                requests = await self._store.read_part(REQUESTS, self._pool)
+                progress = await self._store.read_part(PROGRESS, self._pool)
+            except StoreUnavailable as error:
+                self._log.write("load failed", error=str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            rows = {row.key.key: row for row in progress.rows}
+            for row in requests.rows:
+                self._take_request(row, rows)
+            for row in progress.rows:
+                self._committer.versions[row.key] = row.version
+            self._log.write(
+                "jobs loaded",
+                pool=self._pool,
+                epoch=self._lease.epoch,
+                jobs=len(self._runs.jobs),
+                version=requests.version,
+            )
+            return requests.version
+
+    async def _follow(
+        self,
+        table: str,
+        version: int,
+        wait_s: float,
+        take: Callable[[StoredRow], None],
+    ) -> None:
+        """Hand on each change of a table; read it again after a gap."""
+        while True:
+            try:
+                page = await self._store.follow(table, version, wait_s)
+                version = page.version
+                rows = page.rows
+            except HistoryLost:
+                read = await self._read_again(table)
+                if read is None:
+                    continue
+                rows, version = read
+            except StoreUnavailable:
+                await asyncio.sleep(RETRY_S)
+                continue
+            for row in rows:
+                if row.key.part == self._pool:
+                    take(row)
+
+    async def _read_again(
+        self, table: str
+    ) -> tuple[tuple[StoredRow, ...], int] | None:
+        self._log.write("feed lost its history", table=table)
+        try:
+            read = await self._store.read_part(table, self._pool)
+        except StoreUnavailable:
+            await asyncio.sleep(RETRY_S)
+            return None
+        return read.rows, read.version
+
+    def _take_request(
+        self,
+        row: StoredRow,
+        progress: dict[str, StoredRow] | None = None,
+    ) -> None:
+        """Take in an accepted or cancelled job."""
+        if row.value is None:
+            return
+        job_id, is_job = split_request_key(row.key.key)
+        if not is_job:
+            self._runs.cancel(job_id)
+            return
+        if job_id in self._runs.jobs:
+            return
+        try:
+            job = decode_job(row.value)
+        except msgspec.DecodeError as error:
+            self._log.write("job unreadable", job=job_id, error=str(error))
+            return
+        state = JobState(job, row.version, now_s())
+        stored = None if progress is None else progress.get(job_id)
+        if stored is not None and stored.value is not None:
+            restore_progress(state, stored.value, now_s())
+        self._runs.add(state, restored=progress is not None)
+
+    async def _follow_agents(self) -> None:
+        """Keep a link to each agent of the pool."""
+        while True:
+            try:
+                read = await self._store.read_part(AGENTS, self._pool)
+                break
+            except StoreUnavailable:
+                await asyncio.sleep(RETRY_S)
+        for row in read.rows:
+            self._take_agent(row)
+        await self._follow(
+            AGENTS, read.version, AGENT_FEED_WAIT_S, self._take_agent
+        )
+
+    def _take_agent(self, row: StoredRow) -> None:
+        name = row.key.key
+        present = self._links.get(name)
+        if row.value is None:
+            return
+        agent = msgspec.msgpack.decode(row.value, type=AgentRow)
+        if present is not None:
+            if present[0].address == agent.address:
+                return
+            present[1].cancel()
+        link = AgentLink(
+            agent.address, self._link_terms, self._http, self._runs.take_report
+        )
+        self._links[name] = (link, asyncio.ensure_future(link.run()))
+        self._log.write("agent found", agent=name, address=agent.address)
+
+    async def _tick(self) -> None:
+        """Do what depends on time alone."""
+        counted_s = 0.0
+        while True:
+            self._runs.tick(time.time())
+            if now_s() - counted_s >= COUNT_EVERY_S:
+                counted_s = now_s()
+                self._publish_counts()
+            await asyncio.sleep(TICK_S)
+
+    def _publish_counts(self) -> None:
+        """Store how many jobs of each queue have not begun."""
+        counts = dict.fromkeys(self._counts, 0)
+        for state in self._runs.jobs.values():
+            if state.status is JobStatus.PENDING and not state.job.occurrences:
+                queue = state.job.terms.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        for queue, count in counts.items():
+            if self._counts.get(queue) != count:
+                self._committer.put(
+                    queue_key(self._pool, queue),
+                    lambda value=count: msgspec.msgpack.encode(value),
+                )
+        self._counts = counts
--- /dev/null
+++ b/hickorywing/poolentry.py
@@ -0,0 +1,171 @@
+"""``hickorywing-pool-entry``: for callers, and a candidate for every pool.
+
+An entry keeps nothing that lasts. It accepts jobs by a row of the store,
+answers for their status, and controls the pools whose lease it holds.
+"""
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+from blacksheep import Application
+from blacksheep import Request
+from blacksheep import Response
+import cappa
+
+from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
+from hickorywing.httpclient import HttpClient
+from hickorywing.jobdesk import JobDesk
+from hickorywing.metrics import Metrics
+from hickorywing.platform.callers import CallerApi
+from hickorywing.platform.callers import CallerTerms
+from hickorywing.platform.configsource import PlatformConfigurationSource
+from hickorywing.platform.store import PlatformStore
+from hickorywing.poolconfig import ConfigurationView
+from hickorywing.poolcontroller import ControllerTerms
+from hickorywing.poolcontroller import PoolController
+from hickorywing.program import cancel_tasks
+from hickorywing.program import run_program
+from hickorywing.program import wait_for_stop
+from hickorywing.settings import PoolEntrySettings
+from hickorywing.settings import read_settings
+from hickorywing.statuscache import StatusCache
+from hickorywing.web import add_route
+from hickorywing.web import make_app
+from hickorywing.web import serve_metrics
+from hickorywing.web import WebServer
+
+__all__ = ["PoolEntry", "main"]
+
+# A feed that went silent keeps the configuration's age from being known; the
+# wait of one call and its time limit come on top of what the age may be.
+CONFIG_WAIT_S = 0.8
+# A feed may leave changes out for about a second before it breaks off.
+FEED_SILENCE_S = 1.0
+POOLS_EVERY_S = 0.2
+
+
+class PoolEntry:
+    """All parts of one entry, wired together."""
+
+    def __init__(self, settings: PoolEntrySettings) -> None:
+        self._settings = settings
+        self._metrics = Metrics(settings.name)
+        self._log = DecisionLog(settings.name, "entry", self._metrics)
+        self._view = ConfigurationView()
+        self._leaving = False
+        self._controllers: dict[
+            str, tuple[PoolController, asyncio.Task[None]]
+        ] = {}
+
+    async def run(self) -> None:
+        """Serve until asked to stop, and finish what is in progress."""
+        settings = self._settings
+        self._log.write("starting", zone=settings.zone)
+        http = HttpClient()
+        store = PlatformStore(settings.store, http, self._metrics)
+        cache = StatusCache(store, self._log)
+        desk = JobDesk(store, cache, self._log, self._metrics)
+        callers = CallerApi(
+            desk,
+            self._view,
+            CallerTerms(settings.key_age_limit_s - FEED_SILENCE_S),
+            self._log,
+            self._metrics,
+        )
+        source = PlatformConfigurationSource(
+            store, self._view, self._log, CONFIG_WAIT_S
+        )
+        tasks = [
+            asyncio.create_task(source.run()),
+            asyncio.create_task(cache.run()),
+            asyncio.create_task(self._keep_controllers(store, http)),
+        ]
+        front = WebServer(callers.make_app(), settings.listen)
+        others = [
+            WebServer(self._make_ready_app(), settings.ready),
+            WebServer(self._make_metrics_app(), settings.metrics),
+        ]
+        for server in [front, *others]:
+            await server.start()
+        self._log.write("started")
+        await wait_for_stop()
+        await self._stop(front, tasks)
+        await http.close()
+        self._log.write("stopped")
+
+    async def _stop(
+        self, front: WebServer, tasks: list[asyncio.Task[None]]
+    ) -> None:
+        """Hand the pools over, then finish the requests in progress."""
+        self._log.write("stopping")
+        self._leaving = True
+        for controller, _ in self._controllers.values():
+            await controller.lease.release()
+        await asyncio.sleep(self._settings.drain_notice_s)
+        await front.stop()
+        await cancel_tasks(
+            [*tasks, *(task for _, task in self._controllers.values())]
+        )
+
+    def _make_ready_app(self) -> Application:
+        app = make_app()
+        add_route(app, "GET", "/readiness", self.handle_ready)
+        return app
+
+    def _make_metrics_app(self) -> Application:
+        app = make_app()
+        serve_metrics(app, self._metrics)
+        return app
+
+    async def handle_ready(self, request: Request) -> Response:
+        """Tell whether new callers are welcome."""
+        ready = (
+            not self._leaving
+            and self._view.configuration is not None
+            and self._view.age_s(now_s()) < self._settings.ready_age_limit_s
+        )
+        return Response(200 if ready else 503)
+
+    async def _keep_controllers(
+        self, store: PlatformStore, http: HttpClient
+    ) -> None:
+        """Be a candidate for each pool of the configuration."""
+        terms = ControllerTerms(
+            lease_limit_s=self._settings.lease_limit_s,
+            config_age_limit_s=self._settings.zone_age_limit_s,
+        )
+        while True:
+            for pool in self._view.pools() - self._controllers.keys():
+                controller = PoolController(
+                    pool,
+                    self._settings.name,
+                    store,
+                    http,
+                    self._view,
+                    terms,
+                    self._log,
+                    self._metrics,
+                )
+                task = asyncio.create_task(controller.run())
+                self._controllers[pool] = (controller, task)
+            await asyncio.sleep(POOLS_EVERY_S)
+
+
+def run_entry(settings: Path) -> None:
+    """Run an entry with a settings file."""
+    checked = read_settings(settings, PoolEntrySettings)
+    run_program(PoolEntry(checked).run, "hickorywing-pool-entry")
+
+
+@cappa.command(name="hickorywing-pool-entry")
+class EntryCommand:
+    """Serve callers, and control the pools whose lease is held."""
+
+    settings: Annotated[Path, cappa.Arg(help="Settings file.")]
+
+
+def main() -> None:
+    """Run the program."""
+    run_entry(cappa.parse(EntryCommand).settings)
--- /dev/null
+++ b/hickorywing/poollease.py
@@ -0,0 +1,261 @@
+"""Hold the lease on a pool's controller role, by a row of the store.
+
+A candidate takes over after it has watched the row stand still for a whole
+lease time, or at once when the holder has released it. Time during which the
+store gives no answers doesn't count: the holder could not renew either. The
+holder counts its lease from the moment it sent the renewal.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+import msgspec
+
+from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import epoch_key
+from hickorywing.jobrows import lease_key
+from hickorywing.jobrows import LeaseRow
+from hickorywing.jobrows import LEASES
+from hickorywing.metrics import Metrics
+from hickorywing.rows import Committed
+from hickorywing.rows import HistoryLost
+from hickorywing.rows import Mismatch
+from hickorywing.rows import RowExpectation
+from hickorywing.rows import RowStore
+from hickorywing.rows import RowTransaction
+from hickorywing.rows import RowWrite
+from hickorywing.rows import StoredRow
+from hickorywing.rows import StoreUnavailable
+
+__all__ = ["LEASE_S", "PoolLease"]
+
+# Two lost renewals and a call that times out fit into one lease.
+LEASE_S = 3.0
+RENEW_EVERY_S = 0.8
+RETRY_S = 0.2
+# Keeps two candidates from writing in the same instant.
+CANDIDATE_SPREAD_S = 0.1
+WATCH_S = 1.0
+
+
+class PoolLease:
+    """One process's part in holding a pool's lease."""
+
+    def __init__(
+        self,
+        pool: str,
+        name: str,
+        store: RowStore,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self.pool = pool
+        self.name = name
+        self.epoch = 0
+        self.epoch_version = 0
+        self.renewed_s: float | None = None
+        self._store = store
+        self._log = log
+        self._metrics = metrics
+        self._version = 0
+        self._renewal = 0
+        self._lost = asyncio.Event()
+
+    def holds(self) -> bool:
+        """Tell whether the lease is surely held now."""
+        return (
+            self.renewed_s is not None
+            and not self._lost.is_set()
+            and now_s() - self.renewed_s < LEASE_S
+        )
+
+    def unconfirmed_s(self) -> float:
+        """Return for how long the lease has not been confirmed."""
+        if self.renewed_s is None:
+            return float("inf")
+        return now_s() - self.renewed_s
+
+    def expectation(self) -> RowExpectation:
+        """Return what fails once another holder has taken over."""
+        return RowExpectation(epoch_key(self.pool), self.epoch_version)
+
+    def surrender(self, reason: str) -> None:
+        """Give the role up because another holder was seen."""
+        if not self._lost.is_set():
+            self._log.write(
+                "role lost", pool=self.pool, epoch=self.epoch, reason=reason
+            )
+            self._lost.set()
+
+    async def run(self, serve: Callable[[], Awaitable[None]]) -> None:
+        """Compete, and run ``serve`` during each term, until cancelled."""
+        while True:
+            await self._acquire()
+            self._lost.clear()
+            self._metrics.count("controller_terms", pool=self.pool)
+            await self._hold(serve)
+
+    async def _hold(self, serve: Callable[[], Awaitable[None]]) -> None:
+        """Run one term; it ends when another holder is seen."""
+        serving = asyncio.ensure_future(serve())
+        renewing = asyncio.ensure_future(self._renew_until_lost())
+        try:
+            await asyncio.wait(
+                (serving, renewing), return_when=asyncio.FIRST_COMPLETED
+            )
+            if serving.done() and not serving.cancelled():
+                serving.result()
+        finally:
+            self.renewed_s = None
+            for task in (serving, renewing):
+                task.cancel()
+            await asyncio.gather(serving, renewing, return_exceptions=True)
+
+    async def release(self) -> None:
+        """Let a successor take over at once."""
+        if not self.holds():
+            return
+        self._lost.set()
+        answer = await self._store.commit(
+            self._transaction(LeaseRow("", self.epoch, self._renewal + 1))
+        )
+        self._log.write(
+            "role released",
+            pool=self.pool,
+            epoch=self.epoch,
+            outcome=type(answer).__name__.lower(),
+        )
+
+    async def _acquire(self) -> None:
+        """Return once the lease is held."""
+        seen: StoredRow | None = None
+        still_since: float | None = None
+        while True:
+            try:
+                row = await self._store.read_row(lease_key(self.pool))
+            except StoreUnavailable:
+                still_since = None
+                await asyncio.sleep(RETRY_S)
+                continue
+            at = now_s()
+            if still_since is None or version_of(row) != version_of(seen):
+                seen, still_since = row, at
+            lease = decode_lease(row)
+            # The own name is that of an earlier process on this VM.
+            vacant = lease.holder in ("", self.name)
+            if vacant or at - still_since >= LEASE_S:
+                if await self._take(row, lease):
+                    return
+                still_since = None
+                continue
+            await self._wait_for_change(row, LEASE_S - (at - still_since))
+
+    async def _wait_for_change(
+        self, row: StoredRow | None, left_s: float
+    ) -> None:
+        """Return when the row may have changed or a lease time is over."""
+        try:
+            await self._store.follow(
+                LEASES, version_of(row), min(left_s, WATCH_S)
+            )
+        except (StoreUnavailable, HistoryLost):
+            await asyncio.sleep(RETRY_S)
+
+    async def _take(self, row: StoredRow | None, lease: LeaseRow) -> bool:
+        await asyncio.sleep(random.uniform(0, CANDIDATE_SPREAD_S))
+        try:
+            epoch_row = await self._store.read_row(epoch_key(self.pool))
+        except StoreUnavailable:
+            return False
+        epoch = lease.epoch + 1
+        sent_s = now_s()
+        wanted = LeaseRow(self.name, epoch, 0)
+        answer = await self._store.commit(
+            RowTransaction(
+                (
+                    RowExpectation(lease_key(self.pool), version_of(row)),
+                    RowExpectation(
+                        epoch_key(self.pool), version_of(epoch_row)
+                    ),
+                ),
+                (
+                    RowWrite(
+                        lease_key(self.pool), msgspec.msgpack.encode(wanted)
+                    ),
+                    RowWrite(
+                        epoch_key(self.pool), msgspec.msgpack.encode(epoch)
+                    ),
+                ),
+            )
+        )
+        if not isinstance(answer, Committed):
+            return False
+        self.epoch = epoch
+        self.epoch_version = answer.version
+        self._version = answer.version
+        self._renewal = 0
+        self.renewed_s = sent_s
+        self._log.write(
+            "role taken", pool=self.pool, epoch=epoch, previous=lease.holder
+        )
+        return True
+
+    async def _renew_until_lost(self) -> None:
+        while not self._lost.is_set():
+            await self._renew()
+            pause_s = RENEW_EVERY_S if self.holds() else RETRY_S
+            try:
+                await asyncio.wait_for(self._lost.wait(), pause_s)
+            except TimeoutError:
+                continue
+
+    async def _renew(self) -> None:
+        wanted = LeaseRow(self.name, self.epoch, self._renewal + 1)
+        sent_s = now_s()
+        answer = await self._store.commit(self._transaction(wanted))
+        if isinstance(answer, Committed):
+            self._renewed(wanted, answer.version, sent_s)
+        elif isinstance(answer, Mismatch):
+            self._recognise(answer, sent_s)
+        else:
+            self._metrics.count("lease_renewals_failed", pool=self.pool)
+
+    def _recognise(self, mismatch: Mismatch, sent_s: float) -> None:
+        """Take a row with this holder's name as an earlier lost renewal."""
+        row = mismatch.find(lease_key(self.pool))
+        lease = decode_lease(row)
+        if lease.holder == self.name and lease.epoch == self.epoch:
+            self._renewed(lease, version_of(row), sent_s)
+        else:
+            self.surrender(f"{lease.holder} holds epoch {lease.epoch}")
+
+    def _renewed(self, lease: LeaseRow, version: int, sent_s: float) -> None:
+        self._version = version
+        self._renewal = lease.renewal
+        self.renewed_s = sent_s
+
+    def adopt_epoch_version(self, version: int) -> None:
+        """Correct the version of the epoch row, as read from the store."""
+        self.epoch_version = version
+
+    def _transaction(self, lease: LeaseRow) -> RowTransaction:
+        key = lease_key(self.pool)
+        return RowTransaction(
+            (RowExpectation(key, self._version),),
+            (RowWrite(key, msgspec.msgpack.encode(lease)),),
+        )
+
+
+def version_of(row: StoredRow | None) -> int:
+    """Return a row's version, 0 when there is none."""
+    return 0 if row is None else row.version
+
+
+def decode_lease(row: StoredRow | None) -> LeaseRow:
+    """Return the lease in a row; a missing row is a released lease."""
+    if row is None or row.value is None:
+        return LeaseRow("", 0, 0)
+    return msgspec.msgpack.decode(row.value, type=LeaseRow)
--- /dev/null
+++ b/hickorywing/rows.py
@@ -0,0 +1,184 @@
+"""Versioned rows with partitions and change feeds, as the system uses them.
+
+A row lives in a table and a partition of it. All writes of one transaction
+share a partition. Three answers are possible to a transaction whose writes
+may not all be known: committed, refused (nothing was done) and unknown (it may
+have taken effect, or may still do so while its conditions hold).
+"""
+
+from abc import ABC
+from abc import abstractmethod
+import asyncio
+from dataclasses import dataclass
+
+from hickorywing.errors import HickorywingError
+from hickorywing.table import Committed
+from hickorywing.table import Refused
+from hickorywing.table import Unknown
+
+__all__ = [
+    "Commit",
+    "Committed",
+    "FeedPage",
+    "HistoryLost",
+    "Mismatch",
+    "Refused",
+    "RowExpectation",
+    "RowKey",
+    "RowStore",
+    "RowTransaction",
+    "RowWrite",
+    "StoreUnavailable",
+    "StoredRow",
+    "TableRead",
+    "Unknown",
+    "commit_until",
+]
+
+FIRST_RETRY_S = 0.05
+LAST_RETRY_S = 0.4
+
+
+class StoreUnavailable(HickorywingError):  # noqa: N818
+    """Reports that a read got no answer, with what was seen instead."""
+
+
+class HistoryLost(HickorywingError):  # noqa: N818
+    """Reports that a feed can't continue; the table must be read again."""
+
+
+@dataclass(frozen=True, slots=True)
+class RowKey:
+    """The place of a row."""
+
+    table: str
+    part: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row as it was read; a deleted row in a feed has no value."""
+
+    key: RowKey
+    value: bytes | None
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RowExpectation:
+    """Demands that a row has a version; 0 demands that there is no row."""
+
+    key: RowKey
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RowWrite:
+    """Puts a value, or deletes the row when the value is ``None``."""
+
+    key: RowKey
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class RowTransaction:
+    """Expectations and writes of one partition, applied together."""
+
+    expects: tuple[RowExpectation, ...]
+    writes: tuple[RowWrite, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Mismatch:
+    """Nothing was written; these are the rows that were expected."""
+
+    rows: tuple[StoredRow, ...]
+
+    def find(self, key: RowKey) -> StoredRow | None:
+        """Return the present row of a key, if there is one."""
+        for row in self.rows:
+            if row.key == key and row.value is not None:
+                return row
+        return None
+
+
+Commit = Committed | Mismatch | Refused | Unknown
+
+
+@dataclass(frozen=True, slots=True)
+class TableRead:
+    """Rows as of one version of the store."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class FeedPage:
+    """Changes of one table up to a version, oldest first."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+class RowStore(ABC):
+    """A transactional store of versioned rows."""
+
+    @abstractmethod
+    async def read_part(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> TableRead:
+        """Return the rows of a partition with ``first <= key < end``.
+
+        An empty ``end`` sets no upper bound. Raises ``StoreUnavailable``.
+        """
+
+    @abstractmethod
+    async def follow(
+        self, table: str, after_version: int, wait_s: float
+    ) -> FeedPage:
+        """Return what changed after a version, waiting for the first change.
+
+        Raises ``StoreUnavailable``, or ``HistoryLost`` when the changes
+        since that version are no longer kept.
+        """
+
+    @abstractmethod
+    async def commit(self, transaction: RowTransaction) -> Commit:
+        """Try a transaction once."""
+
+    async def read_row(self, key: RowKey) -> StoredRow | None:
+        """Return one row, if it exists; raise ``StoreUnavailable``."""
+        # The NUL byte makes the smallest key that is greater than this one.
+        read = await self.read_part(
+            key.table, key.part, key.key, key.key + "\0"
+        )
+        return read.rows[0] if read.rows else None
+
+    async def close(self) -> None:  # noqa: B027
+        """Release what the client holds; nothing by default."""
+
+
+async def commit_until(
+    store: RowStore, transaction: RowTransaction, patience_s: float
+) -> Commit:
+    """Repeat a transaction until its fate is known or patience runs out.
+
+    After one lost answer the result is never ``Refused``: the lost try may
+    still take effect. A mismatch may then be this transaction's own earlier
+    try, which the caller recognises by the value of the row.
+    """
+    clock = asyncio.get_running_loop().time
+    deadline = clock() + patience_s
+    doubtful = False
+    pause_s = FIRST_RETRY_S
+    while True:
+        answer = await store.commit(transaction)
+        if isinstance(answer, Committed | Mismatch):
+            return answer
+        doubtful = doubtful or isinstance(answer, Unknown)
+        if clock() + pause_s >= deadline:
+            return Unknown() if doubtful else Refused()
+        await asyncio.sleep(pause_s)
+        pause_s = min(2 * pause_s, LAST_RETRY_S)
--- /dev/null
+++ b/hickorywing/runcontrol.py
@@ -0,0 +1,507 @@
+"""Take a pool's jobs through their runs, from what the workers report.
+
+Decisions come from ``hickorywing.policy``; this module feeds them, stores
+their outcome through the committer and has the orders given.
+"""
+
+import asyncio
+from collections.abc import Iterator
+
+from hickorywing.agentlink import AgentLink
+from hickorywing.clock import now_s
+from hickorywing.committer import Committer
+from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import encode_progress
+from hickorywing.jobrows import progress_key
+from hickorywing.metrics import Metrics
+from hickorywing.orders import EndedRun
+from hickorywing.orders import RunningRun
+from hickorywing.orders import WorkerReport
+from hickorywing.policy.poolmodel import WorkerFacts
+from hickorywing.policy.poolplanner import Assignment
+from hickorywing.policy.poolplanner import PlanInput
+from hickorywing.policy.poolplanner import Planner
+from hickorywing.policy.poolplanner import RunningUnit
+from hickorywing.policy.poolplanner import WaitingUnit
+from hickorywing.policy.poolroom import measure_room
+from hickorywing.policy.poolroom import PoolRoom
+from hickorywing.policy.poolruns import Ending
+from hickorywing.policy.poolruns import format_task
+from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolruns import Member
+from hickorywing.policy.poolruns import parse_task
+from hickorywing.policy.poolruns import Unit
+from hickorywing.poolconfig import ConfigurationView
+from hickorywing.poollease import PoolLease
+from hickorywing.runorders import OpenMember
+from hickorywing.runorders import RunOrders
+
+__all__ = ["RunControl"]
+
+# A worker that has not been heard of for this long gets no new work: it is
+# longer than an idle watch and one retry.
+WORKER_SILENT_S = 3.5
+# Placements wait for their commit, so none is made while one is stuck.
+COMMIT_STUCK_S = 0.5
+# Later than any lease that an earlier controller may have granted.
+LEASE_SLACK_S = 0.5
+
+
+class RunControl:
+    """The jobs of one pool during one term of its controller."""
+
+    def __init__(
+        self,
+        pool: str,
+        lease: PoolLease,
+        view: ConfigurationView,
+        lease_limit_s: float,
+        config_age_limit_s: float,
+        committer: Committer,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self.jobs: dict[str, JobState] = {}
+        self._pool = pool
+        self._lease = lease
+        self._view = view
+        self._config_age_limit_s = config_age_limit_s
+        self._committer = committer
+        self._log = log
+        self._metrics = metrics
+        self._workers: dict[str, AgentLink] = {}
+        self._earlier_leases_end_s = now_s() + lease_limit_s + LEASE_SLACK_S
+        self._cancels: set[str] = set()
+        self._live: dict[str, JobState] = {}
+        self._ends: dict[str, dict[int, bool]] = {}
+        self._orders = RunOrders(
+            lease, self._workers, self._end_member, self.wake, log, metrics
+        )
+        self._planning = False
+
+    def close(self) -> None:
+        """Stop giving orders."""
+        self._orders.close()
+
+    def wake(self) -> None:
+        """Plan and give orders soon, once for all that happens at a time."""
+        if not self._planning:
+            self._planning = True
+            asyncio.get_running_loop().call_soon(self._act)
+
+    def tick(self, unix_s: float) -> None:
+        """Do what depends on time: due occurrences, lapsed leases, orders."""
+        now = now_s()
+        for state in self._live.values():
+            if state.job.occurrences:
+                state.open_due_occurrences(unix_s, now)
+        self._end_lapsed(now)
+        self._act()
+
+    def _act(self) -> None:
+        self._planning = False
+        if self._may_place():
+            self._plan()
+        self._orders.give(self._open_members())
+
+    # Jobs
+
+    def add(self, state: JobState, restored: bool) -> None:
+        """Take in an accepted job."""
+        job = state.job
+        self.jobs[job.job_id] = state
+        if state.final and not any(state.running_units()):
+            return
+        self._live[job.job_id] = state
+        if job.job_id in self._cancels:
+            self._cancel(state)
+        if not restored:
+            self._log.write(
+                "job seen",
+                job=job.job_id,
+                queue=job.terms.queue,
+                customer=job.customer,
+                version=state.accepted,
+            )
+        self.wake()
+
+    def cancel(self, job_id: str) -> None:
+        """Take in a job's cancelling, which may come before the job."""
+        self._cancels.add(job_id)
+        state = self._live.get(job_id)
+        if state is not None:
+            self._cancel(state)
+
+    def _cancel(self, state: JobState) -> None:
+        if not state.cancelled:
+            state.cancelled = True
+            self._log.write("job cancelled", job=state.job.job_id)
+            self._settle(state)
+
+    def _settle(self, state: JobState) -> None:
+        """Work out a job's status after a change and store it."""
+        if state.update_status():
+            self._log.write(
+                "job status", job=state.job.job_id, status=state.status
+            )
+            self._metrics.count("jobs", status=state.status)
+        if state.final:
+            for unit in state.running_units():
+                unit.stopping = unit.stopping or f"job {state.status}"
+            if not any(state.running_units()):
+                self._live.pop(state.job.job_id, None)
+        self._committer.put(
+            progress_key(self._pool, state.job.job_id),
+            lambda: encode_progress(state),
+        )
+        self.wake()
+
+    # Reports of workers
+
+    def take_report(self, link: AgentLink, report: WorkerReport) -> None:
+        """Take in what an agent reports of its worker."""
+        if report.epoch > self._lease.epoch:
+            self._lease.surrender(f"an agent has heard epoch {report.epoch}")
+            return
+        if report.left in self._workers:
+            self._forget_worker(report.left)
+        if not report.worker:
+            return
+        if self._workers.get(report.worker) is not link:
+            self._meet_worker(link, report)
+        for end in report.ended:
+            self._take_end(link, report, end)
+        if report.looked_ms:
+            self._take_running(link, report)
+        link.set_busy(self._is_busy(link))
+        self.wake()
+
+    def _is_busy(self, link: AgentLink) -> bool:
+        """Tell whether the worker has to be looked at."""
+        if self._ends.get(link.worker):
+            return True
+        return any(
+            item.member.worker == link.worker for item in self._open_members()
+        )
+
+    def _forget_worker(self, worker: str) -> None:
+        """Take in that a worker has left; what ran on it is lost."""
+        self._log.write("worker left", worker=worker)
+        del self._workers[worker]
+        self._ends.pop(worker, None)
+        for item in list(self._open_members()):
+            if item.member.worker == worker:
+                self._end_member(
+                    item.state, item.unit, item.member, Ending.LOST
+                )
+
+    def _meet_worker(self, link: AgentLink, report: WorkerReport) -> None:
+        """Take in a new incarnation; what ran on earlier ones is lost."""
+        node = node_of(report.worker)
+        gone = [name for name in self._workers if node_of(name) == node]
+        for worker in gone:
+            del self._workers[worker]
+            self._ends.pop(worker, None)
+        self._workers[report.worker] = link
+        self._ends[report.worker] = {}
+        self._log.write(
+            "worker found",
+            worker=report.worker,
+            replaces=gone,
+            zone=report.zone,
+            accelerators=report.capacity.accelerators,
+            epoch=self._lease.epoch,
+        )
+        for item in list(self._open_members()):
+            worker = item.member.worker
+            if node_of(worker) == node and worker != report.worker:
+                self._lose_member(item, report.worker)
+
+    def _lose_member(self, item: OpenMember, successor: str) -> None:
+        """End a member whose worker has a new incarnation.
+
+        A worker that restarted under its old name may still carry out a
+        start order that was meant for its last incarnation, so the run is
+        stopped there first.
+        """
+        unit, member = item.unit, item.member
+        if name_of(member.worker) == name_of(successor):
+            member.worker = successor
+            unit.stopping = unit.stopping or "the worker has restarted"
+        else:
+            self._end_member(item.state, unit, member, Ending.LOST)
+
+    def _find(self, name: str, run: int, worker: str) -> OpenMember | None:
+        """Return the open member that a worker's list names."""
+        task = parse_task(name)
+        state = None if task is None else self._live.get(task.job_id)
+        unit = None if state is None else state.find_unit(task)
+        member = None if unit is None else unit.find(task.index)
+        if (
+            member is None
+            or unit.run != run
+            or member.worker != worker
+            or member.ending is not None
+        ):
+            return None
+        return OpenMember(state, unit, member)
+
+    def _take_end(
+        self, link: AgentLink, report: WorkerReport, end: EndedRun
+    ) -> None:
+        ends = self._ends[report.worker]
+        if end.number in ends or end.number <= link.noted:
+            return
+        ends[end.number] = False
+
+        def note() -> None:
+            self._note_end(link, report.worker, end.number)
+
+        item = self._find(end.task, end.run, report.worker)
+        if item is None:
+            self._log.write(
+                "end of another run", task=end.task, run=end.run, how=end.how
+            )
+            note()
+            return
+        ending = read_ending(end.how)
+        if item.step.lasting and ending is Ending.DONE:
+            ending = Ending.STOPPED
+        self._end_member(item.state, item.unit, item.member, ending, end.saved)
+        self._committer.put(
+            progress_key(self._pool, item.state.job.job_id),
+            lambda: encode_progress(item.state),
+            note,
+        )
+
+    def _note_end(self, link: AgentLink, worker: str, number: int) -> None:
+        """Let the worker forget the ends that are stored without a gap."""
+        ends = self._ends.get(worker)
+        if ends is None or link.worker != worker:
+            return
+        ends[number] = True
+        noted = link.noted
+        while ends.get(noted + 1):
+            noted += 1
+            del ends[noted]
+        link.note(noted)
+
+    def _end_member(
+        self,
+        state: JobState,
+        unit: Unit,
+        member: Member,
+        ending: Ending,
+        saved: str = "",
+    ) -> None:
+        """Note that a member has ended, and store it."""
+        unit.end(member, ending, saved)
+        self._log.write(
+            "run ended",
+            task=format_task(unit.task(member)),
+            run=unit.run,
+            worker=member.worker,
+            how=ending,
+            stopping=unit.stopping,
+        )
+        self._metrics.count("runs_ended", how=ending)
+        if not unit.running and not unit.done:
+            unit.waiting_since_s = now_s()
+        self._settle(state)
+
+    def _take_running(self, link: AgentLink, report: WorkerReport) -> None:
+        """Compare the runs that a worker lists with what should be there."""
+        listed = {(item.task, item.run) for item in report.running}
+        for run in report.running:
+            item = self._find(run.task, run.run, report.worker)
+            if item is None:
+                self._orders.stop_stray(link, report.worker, run)
+            else:
+                self._take_listed(item, run, report)
+        for item in list(self._open_members()):
+            if item.member.worker != report.worker:
+                continue
+            if (item.task, item.unit.run) not in listed:
+                self._take_absent(item, report)
+
+    def _take_listed(
+        self, item: OpenMember, run: RunningRun, report: WorkerReport
+    ) -> None:
+        member = item.member
+        if not member.seen:
+            member.seen = True
+            self._metrics.observe(
+                "start_to_running_seconds", now_s() - item.unit.placed_at_s
+            )
+        member.percent = run.percent
+        if run.saved:
+            item.unit.saved = run.saved
+        self._orders.check_stop(member, report.looked_ms)
+
+    def _take_absent(self, item: OpenMember, report: WorkerReport) -> None:
+        """End a member that was stopped before it was there."""
+        stopped_ms = item.member.stopped_ms
+        if stopped_ms is not None and report.looked_ms > stopped_ms:
+            self._end_member(
+                item.state, item.unit, item.member, Ending.STOPPED
+            )
+
+    def _open_members(self) -> Iterator[OpenMember]:
+        for state in list(self._live.values()):
+            for unit in list(state.running_units()):
+                for member in list(unit.open_members()):
+                    yield OpenMember(state, unit, member)
+
+    def _end_lapsed(self, now: float) -> None:
+        """End what ran on workers whose every lease has run out."""
+        for item in list(self._open_members()):
+            link = self._workers.get(item.member.worker)
+            end_s = self._earlier_leases_end_s
+            if link is not None:
+                end_s = link.lease_end_s + LEASE_SLACK_S
+            if now > end_s:
+                self._end_member(
+                    item.state, item.unit, item.member, Ending.LAPSED
+                )
+
+    # Planning
+
+    def _may_place(self) -> bool:
+        return (
+            self._lease.holds()
+            and self._committer.stuck_s() < COMMIT_STUCK_S
+            and self._view.age_s(now_s()) < self._config_age_limit_s
+        )
+
+    def _plan(self) -> None:
+        """Place waiting units and stop what has to give way."""
+        waiting = list(self._waiting_units())
+        if not waiting:
+            return
+        room = self._measure_room()
+        plan = Planner(
+            PlanInput(
+                room.workers,
+                room.free,
+                room.coming,
+                waiting,
+                list(self._running_units()),
+                now_s(),
+            )
+        ).make_plan()
+        for assignment in plan.starts:
+            self._place(assignment)
+        for victim, unit in plan.stops:
+            self._preempt(victim, unit)
+
+    def _waiting_units(self) -> Iterator[WaitingUnit]:
+        for state in self._live.values():
+            terms = state.job.terms
+            for unit in state.ready_units():
+                yield WaitingUnit(
+                    unit,
+                    state.job.steps[unit.step],
+                    terms.priority,
+                    (float(state.accepted), unit.occurrence, unit.first),
+                    state.job.customer,
+                )
+
+    def _running_units(self) -> Iterator[RunningUnit]:
+        now = now_s()
+        for state in self._live.values():
+            for unit in state.running_units():
+                yield RunningUnit(
+                    unit,
+                    state.job.steps[unit.step],
+                    state.job.terms.priority,
+                    now - unit.placed_at_s,
+                )
+
+    def _measure_room(self) -> PoolRoom:
+        workers = {
+            name: WorkerFacts(
+                name,
+                link.report.zone,
+                link.report.capacity,
+                link.report.labels,
+            )
+            for name, link in self._workers.items()
+            if self._is_usable(name, link)
+        }
+        return measure_room(
+            workers,
+            (
+                (item.member.worker, item.step, bool(item.unit.stopping))
+                for item in self._open_members()
+            ),
+        )
+
+    def _is_usable(self, name: str, link: AgentLink) -> bool:
+        """Tell whether a worker may get new work now."""
+        report = link.report
+        return (
+            report is not None
+            and report.worker == name
+            and report.clock_ms > 0
+            and not report.draining
+            and report.zone not in self._view.zones_out
+            and link.silent_s() < WORKER_SILENT_S
+            and self._orders.trusts(name)
+        )
+
+    def _place(self, assignment: Assignment) -> None:
+        unit = assignment.unit
+        unit.place(list(assignment.workers), now_s())
+        state = self._live[unit.job_id]
+        self._log.write(
+            "run placed",
+            job=unit.job_id,
+            occurrence=unit.occurrence,
+            step=unit.step,
+            first=unit.first,
+            run=unit.run,
+            workers=assignment.workers,
+            config=self._view.configuration.version,
+            waited_s=round(now_s() - unit.waiting_since_s, 3),
+        )
+        run = unit.run
+
+        def commit() -> None:
+            if unit.run == run:
+                unit.committed = True
+                self.wake()
+
+        state.update_status()
+        self._committer.put(
+            progress_key(self._pool, unit.job_id),
+            lambda: encode_progress(state),
+            commit,
+        )
+        for worker in assignment.workers:
+            self._workers[worker].set_busy(True)
+
+    def _preempt(self, victim: Unit, unit: Unit) -> None:
+        victim.stopping = f"gives way to {unit.job_id}"
+        self._log.write(
+            "run preempted", job=victim.job_id, run=victim.run,
+            step=victim.step, first=victim.first, gives_way_to=unit.job_id,
+        )  # fmt: skip
+        self._metrics.count("preemptions")
+
+
+def node_of(worker: str) -> str:
+    """Return the VM in a worker's name, ``VM/NAME@BORN``."""
+    return worker.partition("/")[0]
+
+
+def name_of(worker: str) -> str:
+    """Return a worker's name without its incarnation."""
+    return worker.rpartition("@")[0]
+
+
+def read_ending(how: str) -> Ending:
+    """Return an ending; one that is not known counts as stopped."""
+    try:
+        return Ending(how)
+    except ValueError:
+        return Ending.STOPPED
--- a/hickorywing/settings.py
+++ b/hickorywing/settings.py
@@ -14,6 +14,8 @@
     "AgentSettings",
     "BackendModel",
     "EntrySettings",
+    "PoolAgentSettings",
+    "PoolEntrySettings",
     "StandinSettings",
     "TlsModel",
     "WorkerLinkModel",
@@ -82,6 +84,43 @@
     tls: TlsModel | None = None
 
 
+class PoolEntrySettings(Model):
+    """Settings of ``hickorywing-pool-entry``; times are in seconds.
+
+    ``lease_limit_s`` is the longest lease that a worker grants. The age
+    limits bound how old the configuration may be when a key is accepted, a
+    task is started in a zone, or new callers are welcomed.
+    """
+
+    name: str = Field(min_length=1)
+    zone: str = Field(min_length=1)
+    listen: Address = Field(pattern=ADDRESS)
+    ready: Address = Field(pattern=ADDRESS)
+    metrics: Address = Field(pattern=ADDRESS)
+    store: Address = Field(pattern=ADDRESS)
+    lease_limit_s: float = Field(gt=0)
+    key_age_limit_s: float = Field(gt=0)
+    zone_age_limit_s: float = Field(gt=0)
+    ready_age_limit_s: float = Field(gt=0)
+    drain_notice_s: float = Field(default=1.0, ge=0, le=60)
+
+
+class PoolAgentSettings(Model):
+    """Settings of ``hickorywing-pool-agent``.
+
+    The worker announces itself at ``listen``; controllers and the metrics'
+    reader connect to ``link``.
+    """
+
+    name: str = Field(min_length=1)
+    zone: str = Field(min_length=1)
+    pool: str = Field(min_length=1)
+    listen: Address = Field(pattern=ADDRESS)
+    link: Address = Field(pattern=ADDRESS)
+    worker: Address = Field(pattern=ADDRESS)
+    store: Address = Field(pattern=ADDRESS)
+
+
 class StandinSettings(Model):
     """Settings of ``hickorywing-standin``."""
 
--- /dev/null
+++ b/hickorywing/statuscache.py
@@ -0,0 +1,125 @@
+"""Answer for the status of jobs from a feed, and from the store's rows."""
+
+import asyncio
+from collections import OrderedDict
+
+import msgspec
+
+from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import decode_status
+from hickorywing.jobrows import job_key
+from hickorywing.jobrows import PROGRESS
+from hickorywing.jobrows import progress_key
+from hickorywing.jobrows import queue_key
+from hickorywing.jobrows import QUEUE_PREFIX
+from hickorywing.policy.poolruns import JobStatus
+from hickorywing.rows import HistoryLost
+from hickorywing.rows import RowKey
+from hickorywing.rows import RowStore
+from hickorywing.rows import StoredRow
+from hickorywing.rows import StoreUnavailable
+
+__all__ = ["StatusCache"]
+
+RETRY_S = 0.2
+FEED_WAIT_S = 2.0
+# About 100 bytes each: 5 MB.
+KEPT_STATUSES = 50_000
+
+
+class StatusCache:
+    """What one entry knows of jobs' statuses.
+
+    A status in the cache is the latest one that the feed brought. For a job
+    that is not there, the rows in the store decide, so a young cache never
+    makes an accepted job unknown.
+    """
+
+    def __init__(self, store: RowStore, log: DecisionLog) -> None:
+        self._store = store
+        self._log = log
+        self._statuses: OrderedDict[RowKey, JobStatus] = OrderedDict()
+        self._counts: dict[RowKey, int] = {}
+        self._known: OrderedDict[RowKey, None] = OrderedDict()
+
+    async def run(self) -> None:
+        """Follow the jobs' progress until cancelled."""
+        version: int | None = None
+        while True:
+            try:
+                if version is None:
+                    version = await self._begin()
+                page = await self._store.follow(PROGRESS, version, FEED_WAIT_S)
+            except HistoryLost:
+                self._log.write("feed lost its history", table=PROGRESS)
+                version = None
+                continue
+            except StoreUnavailable:
+                await asyncio.sleep(RETRY_S)
+                continue
+            version = page.version
+            for row in page.rows:
+                self._take(row)
+
+    async def _begin(self) -> int:
+        """Forget what may be out of date; return the version to follow."""
+        self._statuses.clear()
+        self._counts.clear()
+        # Any row's answer carries the newest version of the store.
+        read = await self._store.read_part(PROGRESS, "", "~", "~\0")
+        return read.version
+
+    def _take(self, row: StoredRow) -> None:
+        if row.value is None:
+            return
+        if row.key.key.startswith(QUEUE_PREFIX):
+            self._counts[row.key] = msgspec.msgpack.decode(row.value, type=int)
+            return
+        self._statuses[row.key] = decode_status(row.value)
+        if len(self._statuses) > KEPT_STATUSES:
+            self._statuses.popitem(last=False)
+
+    def note_accepted(self, pool: str, job_id: str) -> None:
+        """Remember that a job was accepted."""
+        self._known[job_key(pool, job_id)] = None
+        if len(self._known) > KEPT_STATUSES:
+            self._known.popitem(last=False)
+
+    async def exists(self, pool: str, job_id: str) -> bool:
+        """Tell whether a job was accepted; raise ``StoreUnavailable``."""
+        key = job_key(pool, job_id)
+        if key in self._known or progress_key(pool, job_id) in self._statuses:
+            return True
+        if await self._store.read_row(key) is None:
+            return False
+        self.note_accepted(pool, job_id)
+        return True
+
+    async def find(self, pool: str, job_id: str) -> JobStatus | None:
+        """Return a job's status, or ``None`` if there is no such job.
+
+        Raises ``StoreUnavailable`` when that can't be known now.
+        """
+        key = progress_key(pool, job_id)
+        status = self._statuses.get(key)
+        if status is not None:
+            return status
+        if job_key(pool, job_id) in self._known:
+            return JobStatus.PENDING
+        row = await self._store.read_row(key)
+        if row is not None and row.value is not None:
+            return decode_status(row.value)
+        if not await self.exists(pool, job_id):
+            return None
+        return JobStatus.PENDING
+
+    async def count_waiting(self, pool: str, queue: str) -> int:
+        """Return how many jobs of a queue have not begun."""
+        key = queue_key(pool, queue)
+        if key not in self._counts:
+            row = await self._store.read_row(key)
+            count = 0
+            if row is not None and row.value is not None:
+                count = msgspec.msgpack.decode(row.value, type=int)
+            self._counts.setdefault(key, count)
+        return self._counts[key]
--- a/hickorywing/web.py
+++ b/hickorywing/web.py
@@ -16,17 +16,23 @@
 from blacksheep import Content
 from blacksheep import Request
 from blacksheep import Response
+from blacksheep import Router
 import msgspec
 import uvicorn
 
+from hickorywing.metrics import Metrics
+
 __all__ = [
     "CLIENT_IDLE_S",
     "Problem",
     "WebServer",
+    "add_any_path",
     "add_route",
     "answer_json",
     "answer_problem",
     "find_header",
+    "make_app",
+    "serve_metrics",
     "split_address",
 ]
 
@@ -91,6 +97,33 @@
     app.router.add(method, pattern, handle)
 
 
+def serve_metrics(app: Application, metrics: Metrics) -> None:
+    """Serve a process's metrics at ``/metrics``."""
+
+    async def handle(request: Request) -> Response:
+        content = Content(b"text/plain; version=0.0.4", metrics.render())
+        return Response(200, None, content)
+
+    app.router.add("GET", "/metrics", handle)
+
+
+def make_app() -> Application:
+    """Return an application with a router of its own.
+
+    By default all applications of a process share one router.
+    """
+    return Application(router=Router())
+
+
+def add_any_path(app: Application, method: str, handler: Handler) -> None:
+    """Add a bound method as the handler of all paths."""
+
+    async def handle(request: Request) -> Response:
+        return await handler(request)
+
+    app.router.add(method, "*", handle)
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and port of ``1.2.3.4:80``."""
     host, _, port = address.rpartition(":")
