Count the tasks of a step that a worker has already

Cause: the limit of a step's tasks on one worker was applied inside one placement only, and each task of a step that is no gang is placed by itself. Ruled out: wrong decoding (the limit was right in the plan's input). The test places six tasks with a limit of two.

--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -6,7 +6,9 @@
 Best fit keeps whole workers free for tasks that ask for many accelerators.
 """
 
+from collections import Counter
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -98,6 +100,7 @@
         self._stopped: set[tuple] = set()
         self._plan = Plan()
         self._victims = index_victims(state.running)
+        self._spread = count_spread(state.running)
 
     def make_plan(self) -> Plan:
         """Return what to start and to stop."""
@@ -113,6 +116,9 @@
             self._take(self._free, waiting.step, workers)
             self._take(self._soon, waiting.step, workers)
             self._plan.starts.append(Assignment(waiting.unit, workers))
+            self._spread.setdefault(waiting.unit.step_key, Counter()).update(
+                workers
+            )
             return
         workers = self._place(waiting, self._soon)
         if workers is None and waiting.priority == 0:
@@ -134,8 +140,9 @@
     def _place(
         self, waiting: WaitingUnit, rooms: dict[str, Resources]
     ) -> tuple[str, ...] | None:
+        present = self._spread.get(waiting.unit.step_key, Counter())
         return place_unit(
-            waiting, rooms, self._state.workers, self._state.now_s
+            waiting, rooms, self._state.workers, present, self._state.now_s
         )
 
     def _preempt(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
@@ -185,6 +192,15 @@
     )
 
 
+def count_spread(running: Iterable[RunningUnit]) -> dict[tuple, Counter]:
+    """Count the open tasks of each step on each worker."""
+    spread: dict[tuple, Counter] = {}
+    for item in running:
+        counts = spread.setdefault(item.unit.step_key, Counter())
+        counts.update(member.worker for member in item.unit.open_members())
+    return spread
+
+
 def release(rooms: dict[str, Resources], victim: RunningUnit) -> None:
     """Add to the rooms what a running unit holds."""
     for member in victim.unit.open_members():
@@ -203,10 +219,12 @@
     waiting: WaitingUnit,
     rooms: dict[str, Resources],
     workers: dict[str, WorkerFacts],
+    present: Mapping[str, int],
     now_s: float,
 ) -> tuple[str, ...] | None:
     """Return a worker for each task of the unit, or ``None``.
 
+    ``present`` counts the tasks of the same step that workers have already.
     A unit is placed whole. Tasks that should share a rack are placed in one,
     if any rack has the room, and else over several.
     """
@@ -219,13 +237,13 @@
     ]
     count = waiting.unit.count
     for group in group_workers(step, allowed, workers):
-        placed = fill_workers(step, count, group, rooms)
+        placed = fill_workers(step, count, group, rooms, present)
         if placed is not None:
             return placed
     waited_s = now_s - waiting.unit.waiting_since_s
     if (step.data_rack or step.one_rack) and waited_s < DATA_WAIT_S:
         return None
-    return fill_workers(step, count, allowed, rooms)
+    return fill_workers(step, count, allowed, rooms, present)
 
 
 def group_workers(
@@ -247,11 +265,12 @@
     count: int,
     allowed: list[str],
     rooms: dict[str, Resources],
+    present: Mapping[str, int],
 ) -> tuple[str, ...] | None:
     """Place tasks one after another where they leave the least room."""
     need = count_room(step)
     left = {worker: rooms[worker] for worker in allowed}
-    used: dict[str, int] = {}
+    used = dict(present)
     placed: list[str] = []
     for _ in range(count):
         best: str | None = None
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -123,6 +123,11 @@
         """Return what identifies the unit."""
         return (self.job_id, self.occurrence, self.step, self.first)
 
+    @property
+    def step_key(self) -> tuple[str, int, int]:
+        """Return what identifies the step in its occurrence."""
+        return (self.job_id, self.occurrence, self.step)
+
     @property
     def running(self) -> bool:
         """Tell whether a member may be at work."""
--- /dev/null
+++ b/tests/poolhelpers.py
@@ -0,0 +1,107 @@
+"""Builders for tests of the pool's decisions."""
+
+from hickorywing.policy.poolmodel import PoolJob
+from hickorywing.policy.poolmodel import QueueTerms
+from hickorywing.policy.poolmodel import Resources
+from hickorywing.policy.poolmodel import Step
+from hickorywing.policy.poolmodel import WorkerFacts
+from hickorywing.policy.poolplanner import Plan
+from hickorywing.policy.poolplanner import Planner
+from hickorywing.policy.poolplanner import PlanInput
+from hickorywing.policy.poolplanner import RunningUnit
+from hickorywing.policy.poolplanner import WaitingUnit
+from hickorywing.policy.poolroom import measure_room
+from hickorywing.policy.poolruns import JobState
+
+CAPACITY = Resources(128_000, 262_144, 8)
+
+
+def make_job(
+    job_id: str = "j1",
+    steps: tuple[Step, ...] = (Step(),),
+    priority: int = 1,
+    attempts: int = 2,
+    customer: str = "c1",
+    **more,
+) -> PoolJob:
+    terms = QueueTerms("q", "p", priority=priority, attempts=attempts)
+    return PoolJob(job_id, customer, "payload", steps, terms, **more)
+
+
+def gpu_step(accelerators: int, count: int = 1, **more) -> Step:
+    return Step(
+        count=count,
+        resources=Resources(1000, 1000, accelerators),
+        **more,
+    )
+
+
+class Pool:
+    """Workers and jobs, planned without any process."""
+
+    def __init__(self, workers: int, rack_size: int = 3) -> None:
+        self.facts = {
+            f"w{number}": WorkerFacts(
+                f"w{number}",
+                "z",
+                CAPACITY,
+                ("a", f"r{number // rack_size}"),
+            )
+            for number in range(workers)
+        }
+        self.jobs: dict[str, JobState] = {}
+        self.now_s = 100.0
+
+    def add(self, job: PoolJob) -> JobState:
+        state = JobState(job, len(self.jobs) + 1, self.now_s)
+        self.jobs[job.job_id] = state
+        return state
+
+    def plan(self) -> Plan:
+        members = [
+            (member.worker, state.job.steps[unit.step], bool(unit.stopping))
+            for state in self.jobs.values()
+            for unit in state.running_units()
+            for member in unit.open_members()
+        ]
+        room = measure_room(self.facts, members)
+        waiting = [
+            WaitingUnit(
+                unit,
+                state.job.steps[unit.step],
+                state.job.terms.priority,
+                (float(state.accepted),),
+                state.job.customer,
+            )
+            for state in self.jobs.values()
+            for unit in state.ready_units()
+        ]
+        running = [
+            RunningUnit(
+                unit,
+                state.job.steps[unit.step],
+                state.job.terms.priority,
+                self.now_s - unit.placed_at_s,
+            )
+            for state in self.jobs.values()
+            for unit in state.running_units()
+        ]
+        return Planner(
+            PlanInput(
+                room.workers,
+                room.free,
+                room.coming,
+                waiting,
+                running,
+                self.now_s,
+            )
+        ).make_plan()
+
+    def run(self) -> Plan:
+        """Plan and place what the plan starts."""
+        plan = self.plan()
+        for start in plan.starts:
+            start.unit.place(list(start.workers), self.now_s)
+        for victim, _ in plan.stops:
+            victim.stopping = "preempted"
+        return plan
--- /dev/null
+++ b/tests/test_poolplanner.py
@@ -0,0 +1,113 @@
+"""Which waiting units start where, and what gives way."""
+
+from collections import Counter
+
+from poolhelpers import gpu_step
+from poolhelpers import make_job
+from poolhelpers import Pool
+
+
+class TestSpread:
+    """At most so many tasks of a step on one worker."""
+
+    def test_counts_tasks_of_one_plan(self):
+        pool = Pool(workers=3)
+        pool.add(make_job(steps=(gpu_step(1, count=6, spread_limit=2),)))
+        plan = pool.run()
+        placed = Counter(start.workers[0] for start in plan.starts)
+        assert placed == {"w0": 2, "w1": 2, "w2": 2}
+
+    def test_counts_tasks_that_run_already(self):
+        pool = Pool(workers=1)
+        state = pool.add(
+            make_job(steps=(gpu_step(1, count=3, spread_limit=2),))
+        )
+        assert len(pool.run().starts) == 2
+        assert len(pool.run().starts) == 0
+        assert sum(1 for _ in state.ready_units()) == 1
+
+    def test_other_jobs_do_not_count(self):
+        pool = Pool(workers=1)
+        for name in ("j1", "j2"):
+            pool.add(
+                make_job(name, steps=(gpu_step(1, count=2, spread_limit=2),))
+            )
+        assert len(pool.run().starts) == 4
+
+
+class TestGangs:
+    """Gangs start whole, in one rack where they should."""
+
+    def test_waits_while_a_member_has_no_room(self):
+        pool = Pool(workers=2)
+        pool.add(make_job(steps=(gpu_step(8, count=3, gang=True),)))
+        assert pool.run().starts == []
+
+    def test_stays_in_one_rack(self):
+        pool = Pool(workers=5, rack_size=2)
+        pool.add(
+            make_job(steps=(gpu_step(8, count=2, gang=True, one_rack=True),))
+        )
+        (start,) = pool.run().starts
+        racks = {pool.facts[worker].rack for worker in start.workers}
+        assert len(racks) == 1
+
+
+class TestUrgent:
+    """Urgent work on full workers starts by stopping the least loss."""
+
+    def fill(self, pool: Pool) -> None:
+        for number in range(len(pool.facts)):
+            pool.now_s = 100.0 + number
+            pool.add(
+                make_job(f"old{number}", steps=(gpu_step(8),), priority=2)
+            )
+            pool.run()
+
+    def test_stops_what_has_run_least(self):
+        pool = Pool(workers=3)
+        self.fill(pool)
+        pool.now_s = 110.0
+        pool.add(make_job("new", steps=(gpu_step(4),), priority=0))
+        plan = pool.run()
+        assert [victim.job_id for victim, _ in plan.stops] == ["old2"]
+        assert plan.starts == []
+
+    def test_stops_nothing_twice_for_one_unit(self):
+        pool = Pool(workers=3)
+        self.fill(pool)
+        pool.add(make_job("new", steps=(gpu_step(4),), priority=0))
+        pool.run()
+        assert pool.run().stops == []
+
+    def test_keeps_freed_room_from_others(self):
+        pool = Pool(workers=1)
+        self.fill(pool)
+        urgent = pool.add(make_job("new", steps=(gpu_step(8),), priority=0))
+        pool.run()
+        pool.add(make_job("late", steps=(gpu_step(1),), priority=1))
+        old = pool.jobs["old0"]
+        for unit in list(old.running_units()):
+            unit.members[0].ending = "stopped"
+        plan = pool.run()
+        assert [start.unit.job_id for start in plan.starts] == ["new"]
+        assert urgent.units[(0, 0, 0)].running
+
+    def test_does_not_stop_equally_urgent_work(self):
+        pool = Pool(workers=1)
+        pool.add(make_job("first", steps=(gpu_step(8),), priority=0))
+        pool.run()
+        pool.add(make_job("second", steps=(gpu_step(8),), priority=0))
+        assert pool.run().stops == []
+
+
+class TestPacking:
+    """Small tasks fill workers that are in use already."""
+
+    def test_keeps_a_whole_worker_free(self):
+        pool = Pool(workers=2)
+        for number in range(4):
+            pool.add(make_job(f"small{number}", steps=(gpu_step(2),)))
+            pool.run()
+        pool.add(make_job("large", steps=(gpu_step(8),)))
+        assert len(pool.run().starts) == 1
