--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -6,8 +6,8 @@
 from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolmodel import WorkerFacts
 from hickorywing.policy.poolplanner import Plan
-from hickorywing.policy.poolplanner import Planner
 from hickorywing.policy.poolplanner import PlanInput
+from hickorywing.policy.poolplanner import Planner
 from hickorywing.policy.poolplanner import RunningUnit
 from hickorywing.policy.poolplanner import WaitingUnit
 from hickorywing.policy.poolroom import measure_room
