Keep a leaving entry from taking its released lease again

Cause: after the release the lease's loop competed at once and found the row vacant, so the entry that was leaving held the pool again until it ended. Seen by the new test of a planned stop against the emulator, which failed. Ruled out: a lost release (the row was vacant for 20 ms).

--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -62,6 +62,7 @@
         self._metrics = metrics
         self._version = 0
         self._renewal = 0
+        self._released = False
         self._lost = asyncio.Event()
 
     def holds(self) -> bool:
@@ -92,8 +93,9 @@
 
     async def run(self, serve: Callable[[], Awaitable[None]]) -> None:
         """Compete, and run ``serve`` during each term, until cancelled."""
-        while True:
-            await self._acquire()
+        while not self._released:
+            if not await self._acquire():
+                return
             self._lost.clear()
             self._metrics.count("controller_terms", pool=self.pool)
             await self._hold(serve)
@@ -115,7 +117,8 @@
             await asyncio.gather(serving, renewing, return_exceptions=True)
 
     async def release(self) -> None:
-        """Let a successor take over at once."""
+        """Let a successor take over at once, and compete no more."""
+        self._released = True
         if not self.holds():
             return
         self._lost.set()
@@ -129,11 +132,11 @@
             outcome=type(answer).__name__.lower(),
         )
 
-    async def _acquire(self) -> None:
-        """Return once the lease is held."""
+    async def _acquire(self) -> bool:
+        """Return once the lease is held; ``False`` after a release."""
         seen: StoredRow | None = None
         still_since: float | None = None
-        while True:
+        while not self._released:
             try:
                 row = await self._store.read_row(lease_key(self.pool))
             except StoreUnavailable:
@@ -148,10 +151,11 @@
             vacant = lease.holder in ("", self.name)
             if vacant or at - still_since >= LEASE_S:
                 if await self._take(row, lease):
-                    return
+                    return True
                 still_since = None
                 continue
             await self._wait_for_change(row, LEASE_S - (at - still_since))
+        return False
 
     async def _wait_for_change(
         self, row: StoredRow | None, left_s: float
--- /dev/null
+++ b/hickorywing/standins/platformstore.py
@@ -0,0 +1,126 @@
+"""Serve a store of rows in memory over the platform's HTTP interface."""
+
+import base64
+from typing import Any
+
+from blacksheep import Application
+from blacksheep import Request
+from blacksheep import Response
+import msgspec
+
+from hickorywing.rows import Committed
+from hickorywing.rows import HistoryLost
+from hickorywing.rows import Mismatch
+from hickorywing.rows import Refused
+from hickorywing.rows import RowExpectation
+from hickorywing.rows import RowKey
+from hickorywing.rows import RowTransaction
+from hickorywing.rows import RowWrite
+from hickorywing.rows import StoredRow
+from hickorywing.rows import StoreUnavailable
+from hickorywing.standins.rowstore import MemoryRowStore
+from hickorywing.web import add_route
+from hickorywing.web import answer_json
+from hickorywing.web import make_app
+
+__all__ = ["PlatformStoreStandin"]
+
+
+class PlatformStoreStandin:
+    """The store's calls, over rows in memory."""
+
+    def __init__(self, store: MemoryRowStore) -> None:
+        self.store = store
+
+    def make_app(self) -> Application:
+        """Return the application."""
+        app = make_app()
+        add_route(app, "POST", "/rows-tx", self.handle_transaction)
+        add_route(app, "GET", "/rows-get", self.handle_get)
+        add_route(app, "GET", "/rows-feed", self.handle_feed)
+        return app
+
+    async def handle_transaction(self, request: Request) -> Response:
+        """Apply a transaction."""
+        body = msgspec.json.decode(await request.read() or b"{}")
+        outcome = await self.store.commit(decode_transaction(body))
+        if isinstance(outcome, Committed):
+            return answer_json(200, {"ver": outcome.version, "now-ms": 0})
+        if isinstance(outcome, Mismatch):
+            rows = [encode_row(row) for row in outcome.rows]
+            return answer_json(412, {"rows": rows, "ver": self.store.version})
+        return answer_json(503 if isinstance(outcome, Refused) else 500, {})
+
+    async def handle_get(self, request: Request) -> Response:
+        """Return a range of rows."""
+        query = read_query(request)
+        try:
+            read = await self.store.read_part(
+                query["table"],
+                query.get("part", ""),
+                query.get("from", ""),
+                query.get("target", ""),
+            )
+        except StoreUnavailable:
+            return answer_json(503, {})
+        rows = [encode_row(row) for row in read.rows]
+        return answer_json(
+            200, {"rows": rows, "has-more": False, "ver": read.version}
+        )
+
+    async def handle_feed(self, request: Request) -> Response:
+        """Return what changed, waiting for it."""
+        query = read_query(request)
+        try:
+            page = await self.store.follow(
+                query["table"],
+                int(query["after"]),
+                int(query.get("wait-ms", "0")) / 1000,
+            )
+        except HistoryLost:
+            return answer_json(410, {})
+        except StoreUnavailable:
+            return answer_json(503, {})
+        rows = [encode_row(row) for row in page.rows]
+        return answer_json(200, {"rows": rows, "ver": page.version})
+
+
+def read_query(request: Request) -> dict[str, str]:
+    """Return each parameter's first value."""
+    return {name: values[0] for name, values in request.query.items()}
+
+
+def decode_key(entry: dict[str, Any]) -> RowKey:
+    """Return the place that an entry names."""
+    return RowKey(entry["table"], entry.get("part", ""), entry["key"])
+
+
+def decode_transaction(body: dict[str, Any]) -> RowTransaction:
+    """Return the transaction in a body."""
+    writes = [
+        RowWrite(decode_key(entry), base64.b64decode(entry["value"]))
+        for entry in body.get("put", [])
+    ]
+    writes.extend(
+        RowWrite(decode_key(entry), None) for entry in body.get("remove", [])
+    )
+    return RowTransaction(
+        tuple(
+            RowExpectation(decode_key(entry), entry["ver"])
+            for entry in body.get("expect-rev", [])
+        ),
+        tuple(writes),
+    )
+
+
+def encode_row(row: StoredRow) -> dict[str, Any]:
+    """Return a row in the platform's form."""
+    place = {
+        "table": row.key.table,
+        "part": row.key.part,
+        "key": row.key.key,
+        "ver": row.version,
+    }
+    if row.value is None:
+        return {**place, "tombstone": True}
+    return {**place, "value": base64.b64encode(row.value).decode("ascii")}
--- /dev/null
+++ b/tests/platformsystem.py
@@ -0,0 +1,268 @@
+"""The programs as processes against the emulator of the platform."""
+
+import asyncio
+import json
+from pathlib import Path
+import signal
+import socket
+import subprocess
+import sys
+
+import msgspec
+
+from hickorywing.httpclient import CallError
+from hickorywing.httpclient import HttpAnswer
+from hickorywing.httpclient import HttpClient
+from hickorywing.rows import RowKey
+from hickorywing.standins.platformstore import PlatformStoreStandin
+from hickorywing.standins.platformworker import PlatformWorkerStandin
+from hickorywing.standins.rowstore import MemoryRowStore
+from hickorywing.web import WebServer
+
+POOL = "pool-1"
+HOST = "queue.example"
+KEY = "customer-key"
+START_TIMEOUT_S = 20.0
+WAIT_STEP_S = 0.05
+
+
+def free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def make_configuration(version: int, **changes) -> bytes:
+    route = {
+        "host": HOST,
+        "path-prefix": "/jobs/",
+        "service": POOL,
+        "priority": 1,
+        "attempts": 2,
+        "stretch": 3.0,
+        "target-latency-ms": 1000,
+        "timeout-ms": 3000,
+        "name": "jobs",
+    }
+    urgent = {
+        **route,
+        "path-prefix": "/urgent/",
+        "priority": 0,
+        "name": "urgent",
+    }
+    config = {
+        "version": version,
+        "routes": [route, urgent],
+        "tenants": [
+            {"name": "c1", "api-keys": [KEY], "guaranteed": {"gpu": 8}}
+        ],
+        **changes,
+    }
+    return json.dumps(config).encode()
+
+
+class PlatformSystem:
+    """One store, workers with agents, and entries."""
+
+    def __init__(
+        self, folder: Path, workers: int = 2, entries: int = 2
+    ) -> None:
+        self.store = MemoryRowStore()
+        self.workers: dict[str, PlatformWorkerStandin] = {}
+        self.entries: dict[str, str] = {}
+        self._folder = folder
+        self._counts = (workers, entries)
+        self._servers: list[WebServer] = []
+        self._tasks: list[asyncio.Task] = []
+        self._commands: dict[str, list[str]] = {}
+        self._processes: dict[str, subprocess.Popen] = {}
+
+    async def __aenter__(self) -> "PlatformSystem":
+        self.http = HttpClient()
+        self.store.put(RowKey("op", "", "config"), make_configuration(3))
+        app = PlatformStoreStandin(self.store).make_app()
+        self.store_address = await self._serve(app, free_address())
+        workers, entries = self._counts
+        for number in range(workers):
+            await self._add_worker(f"w{number}", f"z{number % 2}")
+        for number in range(entries):
+            self._add_entry(f"e{number}", f"z{number % 2}")
+        await self.wait(self._is_serving)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for process in self._processes.values():
+            process.kill()
+            process.wait()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.http.close()
+
+    async def _serve(self, app, address: str) -> str:
+        server = WebServer(app, address)
+        await server.start()
+        self._servers.append(server)
+        self._tasks.append(server._task)
+        return address
+
+    async def _add_worker(self, name: str, zone: str) -> None:
+        control = free_address()
+        worker = PlatformWorkerStandin(f"i-{name}", POOL, zone, control)
+        self.workers[name] = worker
+        address = await self._serve(worker.make_app(), free_address())
+        self._tasks.append(asyncio.ensure_future(worker.run()))
+        settings = {
+            "name": name,
+            "zone": zone,
+            "pool": POOL,
+            "listen": control,
+            "link": free_address(),
+            "worker": address,
+            "store": self.store_address,
+        }
+        self._start_program("pool-agent", name, settings)
+
+    def _add_entry(self, name: str, zone: str) -> None:
+        listen = free_address()
+        self.entries[name] = listen
+        settings = {
+            "name": name,
+            "zone": zone,
+            "listen": listen,
+            "ready": free_address(),
+            "metrics": free_address(),
+            "store": self.store_address,
+            "lease_limit_s": 10,
+            "key_age_limit_s": 5,
+            "zone_age_limit_s": 5,
+            "ready_age_limit_s": 3,
+            "drain_notice_s": 0.2,
+        }
+        self._start_program("pool-entry", name, settings)
+
+    def _start_program(self, program: str, name: str, settings: dict) -> None:
+        path = self._folder / f"{name}.jsonc"
+        path.write_text(json.dumps(settings))
+        command = [sys.executable, "-m", "hickorywing", program, str(path)]
+        self._commands[name] = command
+        self.restart(name)
+
+    def restart(self, name: str) -> None:
+        with open(self._folder / f"{name}.log", "ab") as log:
+            self._processes[name] = subprocess.Popen(
+                self._commands[name], stdout=log, stderr=log
+            )
+
+    def kill(self, name: str) -> None:
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    async def stop(self, name: str) -> int:
+        process = self._processes[name]
+        process.send_signal(signal.SIGTERM)
+        return await asyncio.to_thread(process.wait, START_TIMEOUT_S)
+
+    def controller(self) -> str:
+        """Return the entry that holds the pool's lease by its row."""
+        row = self.store.rows.get(RowKey("leases", POOL, "holder"))
+        return "" if row is None else msgspec.msgpack.decode(row.value)[0]
+
+    def log_lines(self) -> list[dict]:
+        lines = []
+        for path in sorted(self._folder.glob("*.log")):
+            for line in path.read_text().splitlines():
+                if line.startswith("{"):
+                    lines.append(json.loads(line))
+        return lines
+
+    async def wait(self, check, timeout_s: float = START_TIMEOUT_S) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while True:
+            done = check()
+            if asyncio.iscoroutine(done):
+                done = await done
+            if done:
+                return
+            assert loop.time() < deadline, f"{check} stayed false"
+            await asyncio.sleep(WAIT_STEP_S)
+
+    async def _is_serving(self) -> bool:
+        found = sum(
+            1 for line in self.log_lines() if line["event"] == "worker found"
+        )
+        if found < len(self.workers):
+            return False
+        for name in self.entries:
+            try:
+                answer = await self.call(name, "GET", "/jobs/")
+            except CallError:
+                return False
+            if answer.status != 200:
+                return False
+        return True
+
+    async def call(
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        body: dict | None = None,
+        key: str = KEY,
+    ) -> HttpAnswer:
+        return await self.http.call(
+            method,
+            f"http://{self.entries[entry]}{path}",
+            5.0,
+            None if body is None else json.dumps(body).encode(),
+            {"Host": HOST, "X-Credential": key, "X-Deadline-Ms": "3000"},
+        )
+
+    async def submit(
+        self,
+        job_id: str,
+        queue: str = "jobs",
+        entry: str = "e0",
+        run_s: float = 0.1,
+        how: str = "done",
+        **step,
+    ) -> HttpAnswer:
+        spec = json.dumps({"run_s": run_s, "how": how})
+        steps = [{"count": 1, "cpu": 1000, "gpu": 1, **step}]
+        body = {"spec": spec, "steps": steps}
+        return await self.call(entry, "POST", f"/{queue}/{job_id}", body)
+
+    async def status(
+        self, job_id: str, queue: str = "jobs", entry: str = "e0"
+    ) -> str:
+        answer = await self.call(entry, "GET", f"/{queue}/{job_id}")
+        if answer.status != 200:
+            return str(answer.status)
+        return json.loads(answer.body)["state"]
+
+    async def wait_status(
+        self, job_id: str, wanted: str, queue: str = "jobs", entry="e0"
+    ) -> None:
+        async def reached() -> bool:
+            return await self.status(job_id, queue, entry) == wanted
+
+        await self.wait(reached)
+
+    async def wait_status_after_restart(
+        self, job_id: str, wanted: str
+    ) -> None:
+        async def reached() -> bool:
+            try:
+                return await self.status(job_id) == wanted
+            except CallError:
+                return False  # The entry has not begun to listen yet.
+
+        await self.wait(reached)
+
+    def starts(self) -> list:
+        return [
+            start
+            for worker in self.workers.values()
+            for start in worker.starts
+        ]
--- /dev/null
+++ b/tests/test_poolpath.py
@@ -0,0 +1,159 @@
+"""Jobs through real entries and agents, against the platform's emulator."""
+
+import json
+
+from platformsystem import make_configuration
+from platformsystem import PlatformSystem
+
+from hickorywing.rows import RowKey
+
+JOB = "00000000000000a"
+
+
+class TestPath:
+    """A job is accepted, run and shown as completed at every entry."""
+
+    async def test_serves_jobs(self, tmp_path):
+        async with PlatformSystem(tmp_path) as system:
+            answer = await system.submit(JOB + "1", count=5)
+            assert answer.status == 200
+            await system.wait_status(JOB + "1", "completed", entry="e1")
+            assert len(system.starts()) == 5
+            answer = await system.submit(JOB + "1", count=5, entry="e1")
+            assert answer.status == 200
+            answer = await system.call("e0", "GET", "/jobs/")
+            assert json.loads(answer.body) == {"waiting": 0}
+
+    async def test_refuses_what_is_not_known(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            call = system.call
+            assert (await call("e0", "GET", "/none/1")).status == 404
+            path = f"/jobs/{JOB}2"
+            assert (await call("e0", "GET", path, key="x")).status == 401
+            assert (await call("e0", "GET", path)).status == 410
+
+    async def test_failing_job_is_tried_and_shown_as_failed(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            await system.submit(JOB + "3", how="failed")
+            await system.wait_status(JOB + "3", "failed")
+            assert len(system.starts()) == 2
+
+    async def test_cancel_stops_the_run(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            await system.submit(JOB + "4", run_s=60)
+            await system.wait(lambda: system.starts())
+            answer = await system.call("e0", "DELETE", f"/jobs/{JOB}4")
+            assert answer.status == 200
+            await system.wait(lambda: not system.workers["w0"].running())
+            await system.wait_status(JOB + "4", "cancelled")
+
+    async def test_urgent_job_starts_on_a_full_worker(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            await system.submit(JOB + "5", run_s=60, gpu=8)
+            await system.wait(lambda: system.starts())
+            await system.submit(JOB + "6", queue="urgent", gpu=4)
+            await system.wait_status(JOB + "6", "completed", queue="urgent")
+
+
+class TestHandOver:
+    """A successor goes on with what runs, and repeats nothing."""
+
+    async def test_controller_is_killed(self, tmp_path):
+        async with PlatformSystem(tmp_path) as system:
+            await system.submit(JOB + "7", run_s=6, count=4)
+            await system.wait(lambda: len(system.starts()) == 4)
+            holder = system.controller()
+            system.kill(holder)
+            other = next(name for name in system.entries if name != holder)
+            await system.wait(lambda: system.controller() == other)
+            await system.wait_status(JOB + "7", "completed", entry=other)
+            assert len(system.starts()) == 4
+
+    async def test_everything_restarts(self, tmp_path):
+        async with PlatformSystem(tmp_path) as system:
+            await system.submit(JOB + "8", run_s=5, count=4)
+            await system.wait(lambda: len(system.starts()) == 4)
+            names = [*system.entries, *system.workers]
+            for name in names:
+                system.kill(name)
+            for name in names:
+                system.restart(name)
+            await system.wait_status_after_restart(JOB + "8", "completed")
+            assert len(system.starts()) == 4
+
+    async def test_planned_stop_hands_over_at_once(self, tmp_path):
+        async with PlatformSystem(tmp_path) as system:
+            holder = system.controller()
+            assert await system.stop(holder) == 0
+            other = next(name for name in system.entries if name != holder)
+            await system.wait(lambda: system.controller() == other, 1.0)
+
+
+class TestWorkers:
+    """What happens to runs when their worker does not do as it should."""
+
+    async def test_lost_answer_to_a_start_starts_once(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            system.workers["w0"].lose_answers = 1
+            await system.submit(JOB + "9", run_s=1)
+            await system.wait_status(JOB + "9", "completed")
+            assert len(system.starts()) == 1
+
+    async def test_crash_starts_the_run_again(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            await system.submit(JOB + "a", run_s=2)
+            await system.wait(lambda: system.starts())
+            system.workers["w0"].crash()
+            await system.wait_status(JOB + "a", "completed")
+            assert [start.run for start in system.starts()] == [1, 2]
+
+    async def test_draining_worker_gets_no_start(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
+            system.workers["w0"].state = "draining"
+
+            def drains() -> bool:
+                return any(
+                    line["event"] == "worker draining"
+                    for line in system.log_lines()
+                )
+
+            await system.wait(drains)
+            await system.submit(JOB + "b", count=8)
+            await system.wait_status(JOB + "b", "completed")
+            assert not system.workers["w0"].starts
+
+
+class TestConfiguration:
+    """Changes by the operator are followed."""
+
+    async def test_zone_out_gets_no_start(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
+            system.store.put(RowKey("op", "", "evacuate/z0"), b"{}")
+            await system.wait(
+                lambda: any(
+                    line["event"] == "zone out" for line in system.log_lines()
+                )
+            )
+            await system.submit(JOB + "c", count=8)
+            await system.wait_status(JOB + "c", "completed")
+            assert not system.workers["w0"].starts
+
+    async def test_key_taken_away(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            system.store.put(
+                RowKey("op", "", "config"), make_configuration(4, tenants=[])
+            )
+
+            async def refused() -> bool:
+                return await system.status(JOB + "d") == "401"
+
+            await system.wait(refused, 2.0)
+
+    async def test_silent_store_ends_keys(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            system.store.down = True
+
+            async def refused() -> bool:
+                return await system.status(JOB + "e") == "503"
+
+            await system.wait(refused, 5.0)
