Refuse at once at an entry that can't reach the store, and settle doubt sooner

Ruled out: a slow store (no call of that entry was answered). Now a submission at such an entry is refused before anything was sent, a commit without an answer is given up after 0.8 s when reads fail as well, and the outcome is then unknown, so the caller may ask at another entry. The role's lease is 2 s, as a holder that dies stops all decisions that long.

--- a/hickorywing/jobdesk.py
+++ b/hickorywing/jobdesk.py
@@ -31,6 +31,9 @@
 
 # The store's usual outages last a few seconds; asking sooner only adds load.
 COME_BACK_S = 1.0
+# A doubtful submission is answered as unknown after this time, while the
+# caller still has time to ask at another entry, which may reach the store.
+SETTLE_S = 0.8
 
 
 class Outcome(enum.StrEnum):
@@ -71,11 +74,18 @@
         """Accept a job, or tell that it was not or may not be accepted."""
         started_s = now_s()
         pool = job.terms.pool
+        if not self._store.is_reachable():
+            self._log.write(
+                "refused", job=job.job_id, reason="store not reachable"
+            )
+            return answer_outcome(Outcome.NOT_RUN)
         key = job_key(pool, job.job_id)
         transaction = RowTransaction(
             (RowExpectation(key, 0),), (RowWrite(key, encode_job(job)),)
         )
-        result = await commit_until(self._store, transaction, patience_s)
+        result = await commit_until(
+            self._store, transaction, min(patience_s, SETTLE_S)
+        )
         if isinstance(result, Mismatch) and result.find(key) is None:
             result = Refused()
         outcome = read_outcome(result)
--- a/hickorywing/platform/store.py
+++ b/hickorywing/platform/store.py
@@ -1,5 +1,6 @@
 """Speak to the platform's metadata store."""
 
+import asyncio
 import base64
 from typing import Any
 from urllib.parse import urlencode
@@ -31,7 +32,11 @@
 # A slow store answers in about 60 times its usual 4 ms, and a partition
 # applies its transactions one after another.
 CALL_TIMEOUT_S = 1.5
-FEED_SLACK_S = 0.8
+FEED_SLACK_S = 0.5
+# A transaction that waits this long in its partition's queue is given more
+# time only if a read, which waits in no queue, is answered meanwhile.
+DOUBT_AFTER_S = 0.4
+PROBE_TIMEOUT_S = 0.4
 PAGE_ROWS = 500
 
 
@@ -116,15 +121,48 @@
         self._url = f"http://{address}"
         self._http = http
         self._metrics = metrics
+        self._reachable = True
+
+    def is_reachable(self) -> bool:
+        """Tell whether the last call that ended got an answer."""
+        return self._reachable
+
+    async def _call(
+        self, method: str, url: str, timeout_s: float, body: bytes | None
+    ) -> HttpAnswer:
+        """Return a complete answer; raise ``CallError``."""
+        try:
+            answer = await self._http.call(method, url, timeout_s, body)
+        except CallError:
+            self._reachable = False
+            raise
+        self._reachable = True
+        return answer
+
+    async def _call_watched(self, url: str, body: bytes) -> HttpAnswer:
+        """Post a body; give up early when the store answers no reads."""
+        call = asyncio.ensure_future(
+            self._call("POST", url, CALL_TIMEOUT_S, body)
+        )
+        try:
+            done, _ = await asyncio.wait({call}, timeout=DOUBT_AFTER_S)
+            if not done:
+                await self._call(
+                    "GET",
+                    f"{self._url}/rows-get?table=probe&part=&limit=1",
+                    PROBE_TIMEOUT_S,
+                    None,
+                )
+            return await call
+        finally:
+            call.cancel()
 
     async def commit(self, transaction: RowTransaction) -> Commit:
         """Try a transaction once; a lost answer is ``Unknown``."""
         body = encode_transaction(transaction)
         try:
             with self._metrics.time("store_call_seconds", call="commit"):
-                answer = await self._http.call(
-                    "POST", f"{self._url}/rows-tx", CALL_TIMEOUT_S, body
-                )
+                answer = await self._call_watched(f"{self._url}/rows-tx", body)
         except CallError:
             self._metrics.count("store_commits", outcome="unknown")
             return Unknown()
@@ -179,7 +217,7 @@
     ) -> HttpAnswer:
         url = f"{self._url}/{call}?{urlencode(query)}"
         try:
-            answer = await self._http.call("GET", url, timeout_s)
+            answer = await self._call("GET", url, timeout_s, None)
         except CallError as error:
             self._metrics.count("store_reads", call=call, outcome="lost")
             raise StoreUnavailable(str(error)) from error
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -32,13 +32,14 @@
 
 __all__ = ["LEASE_S", "PoolLease"]
 
-# Two lost renewals and a call that times out fit into one lease.
-LEASE_S = 3.0
-RENEW_EVERY_S = 0.8
+# A holder that dies leaves its pool without decisions for one lease, so the
+# lease is short; one renewal that times out after a probe fits into it.
+LEASE_S = 2.0
+RENEW_EVERY_S = 0.5
 RETRY_S = 0.2
 # Keeps two candidates from writing in the same instant.
 CANDIDATE_SPREAD_S = 0.1
-WATCH_S = 1.0
+WATCH_S = 0.8
 
 
 class PoolLease:
--- a/hickorywing/rows.py
+++ b/hickorywing/rows.py
@@ -148,6 +148,10 @@
     async def commit(self, transaction: RowTransaction) -> Commit:
         """Try a transaction once."""
 
+    def is_reachable(self) -> bool:
+        """Tell whether the last call that ended got an answer."""
+        return True
+
     async def read_row(self, key: RowKey) -> StoredRow | None:
         """Return one row, if it exists; raise ``StoreUnavailable``."""
         # The NUL byte makes the smallest key that is greater than this one.
--- a/hickorywing/standins/rowstore.py
+++ b/hickorywing/standins/rowstore.py
@@ -53,6 +53,10 @@
         self._oldest = 0
         self._changed = asyncio.Event()
 
+    def is_reachable(self) -> bool:
+        """Tell whether the store is up."""
+        return not self.down
+
     def plan_faults(self, *faults: StoreFault) -> None:
         """Let the next transactions meet these faults, one each."""
         self._faults.extend(faults)
--- a/tests/test_jobdesk.py
+++ b/tests/test_jobdesk.py
@@ -60,6 +60,13 @@
         assert answer.retry_after_s > 0
         assert not store.rows
 
+    async def test_unreachable_store_is_refused_at_once(self):
+        store = MemoryRowStore()
+        store.down = True
+        answer = await make_desk(store).submit(make_job(), 3.0)
+        assert answer.outcome is Outcome.NOT_RUN
+        assert store.commits == 0
+
     async def test_refusal_after_a_lost_try_is_unknown(self):
         store = MemoryRowStore()
         store.plan_faults(StoreFault.LATE, *[StoreFault.REFUSE] * 20)
--- /dev/null
+++ b/tests/test_platformstore.py
@@ -0,0 +1,109 @@
+"""The client of the platform's store against its emulator."""
+
+import asyncio
+
+from platformsystem import free_address
+import pytest
+
+from hickorywing.httpclient import HttpClient
+from hickorywing.metrics import Metrics
+from hickorywing.platform.store import PlatformStore
+from hickorywing.rows import Committed
+from hickorywing.rows import HistoryLost
+from hickorywing.rows import Mismatch
+from hickorywing.rows import Refused
+from hickorywing.rows import RowExpectation
+from hickorywing.rows import RowKey
+from hickorywing.rows import RowTransaction
+from hickorywing.rows import RowWrite
+from hickorywing.rows import StoreUnavailable
+from hickorywing.rows import Unknown
+from hickorywing.standins.platformstore import PlatformStoreStandin
+from hickorywing.standins.rowstore import MemoryRowStore
+from hickorywing.standins.rowstore import StoreFault
+from hickorywing.web import WebServer
+
+KEY = RowKey("t", "p", "k")
+
+
+def write(value: bytes | None, version: int = 0) -> RowTransaction:
+    return RowTransaction(
+        (RowExpectation(KEY, version),), (RowWrite(KEY, value),)
+    )
+
+
+@pytest.fixture
+async def served():
+    """Yield the rows behind a server, and a client of it."""
+    rows = MemoryRowStore()
+    address = free_address()
+    server = WebServer(PlatformStoreStandin(rows).make_app(), address)
+    await server.start()
+    http = HttpClient()
+    yield rows, PlatformStore(address, http, Metrics("test"))
+    await http.close()
+    await server.stop()
+
+
+class TestTransactions:
+    """Each answer is one of four."""
+
+    async def test_commits_and_finds_a_mismatch(self, served):
+        _, store = served
+        assert isinstance(await store.commit(write(b"1")), Committed)
+        answer = await store.commit(write(b"2"))
+        assert isinstance(answer, Mismatch)
+        assert answer.find(KEY).value == b"1"
+
+    async def test_refused(self, served):
+        rows, store = served
+        rows.plan_faults(StoreFault.REFUSE)
+        assert isinstance(await store.commit(write(b"1")), Refused)
+
+    async def test_silent_store_is_unknown_early(self):
+        async def keep_silent(reader, writer):
+            await asyncio.sleep(30)
+
+        address = free_address()
+        host, port = address.split(":")
+        server = await asyncio.start_server(keep_silent, host, int(port))
+        http = HttpClient()
+        store = PlatformStore(address, http, Metrics("test"))
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        assert isinstance(await store.commit(write(b"1")), Unknown)
+        assert loop.time() - started < 1.0
+        assert not store.is_reachable()
+        await http.close()
+        server.close()
+
+
+class TestReads:
+    """Ranges and feeds."""
+
+    async def test_range_excludes_its_end(self, served):
+        rows, store = served
+        for key in "abc":
+            rows.put(RowKey("t", "p", key), key.encode())
+        read = await store.read_part("t", "p", "a", "c")
+        assert [row.value for row in read.rows] == [b"a", b"b"]
+
+    async def test_feed_gives_changes_and_deletions(self, served):
+        rows, store = served
+        version = rows.put(KEY, b"1")
+        rows.put(KEY, None)
+        page = await store.follow("t", version, 1.0)
+        assert [row.value for row in page.rows] == [None]
+
+    async def test_feed_without_history(self, served):
+        rows, store = served
+        rows.put(KEY, b"1")
+        rows.forget_history()
+        with pytest.raises(HistoryLost):
+            await store.follow("t", 0, 1.0)
+
+    async def test_down(self, served):
+        rows, store = served
+        rows.down = True
+        with pytest.raises(StoreUnavailable):
+            await store.read_row(KEY)
