Stop the work that loses least for an urgent gang, and wait for ends

Now victims are chosen worker by worker by the loss of whole units, work that ends within 0.5 s is waited for, and a part that dies ends its process.

--- a/hickorywing/jobrows.py
+++ b/hickorywing/jobrows.py
@@ -16,8 +16,11 @@
 ==========  ==================  ============================  ==============
 """
 
+import time
+
 import msgspec
 
+from hickorywing.clock import now_s
 from hickorywing.policy.poolmodel import PoolJob
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
@@ -88,6 +91,7 @@
     done: bool
     saved: str
     members: list[tuple[int, str, str]]
+    placed_unix_s: float = 0.0
 
 
 class ProgressRow(msgspec.Struct, array_like=True):
@@ -165,6 +169,7 @@
                 (item.index, item.worker, item.ending or "")
                 for item in unit.members
             ],
+            0.0 if unit.done else round(unix_of(unit.placed_at_s), 1),
         )
         for unit in state.units.values()
         if unit.run
@@ -174,12 +179,17 @@
     )
 
 
+def unix_of(moment_s: float) -> float:
+    """Return a moment of this process's clock in seconds of Unix time."""
+    return time.time() - (now_s() - moment_s)
+
+
 def decode_status(value: bytes) -> JobStatus:
     """Return the status in a progress row."""
     return msgspec.msgpack.decode(value, type=ProgressRow).status
 
 
-def restore_progress(state: JobState, value: bytes, now_s: float) -> None:
+def restore_progress(state: JobState, value: bytes) -> None:
     """Set a job's state to what its progress row holds."""
     row = msgspec.msgpack.decode(value, type=ProgressRow)
     state.status = row.status
@@ -187,7 +197,7 @@
     for item in row.units:
         key = (item.occurrence, item.step, item.first)
         if key not in state.units:
-            state.open_occurrence(item.occurrence, now_s)
+            state.open_occurrence(item.occurrence, now_s())
         restore_unit(state.units[key], item)
 
 
@@ -202,6 +212,7 @@
     unit.done = row.done
     unit.saved = row.saved
     unit.committed = True
+    unit.placed_at_s = now_s() - (time.time() - row.placed_unix_s)
     unit.members = [
         Member(index, worker, Ending(ending) if ending else None, tries=1)
         for index, worker, ending in row.members
--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -15,16 +15,22 @@
 from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolmodel import WorkerFacts
+from hickorywing.policy.poolpreemption import choose_victims
+from hickorywing.policy.poolpreemption import release
+from hickorywing.policy.poolpreemption import RunningUnit
+from hickorywing.policy.poolpreemption import Sacrifice
+from hickorywing.policy.poolroom import count_room
 from hickorywing.policy.poolruns import Unit
 
-__all__ = ["Assignment", "Plan", "PlanInput", "RunningUnit", "WaitingUnit"]
+__all__ = ["Assignment", "Plan", "PlanInput", "Planner", "WaitingUnit"]
 
-# The price of one accelerator in cores, as the users count thrown-away work.
-CORES_PER_ACCELERATOR = 8
 # A job that runs away from its data takes several times as long, so it first
 # waits a moment for room beside it, below the 3 s after which an idle task
 # counts as forgotten.
 DATA_WAIT_S = 1.5
+# An urgent unit waits this long for running work that is about to end, before
+# it stops any. A stop takes up to 0.4 s itself.
+END_WAIT_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,23 +44,6 @@
     customer: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class RunningUnit:
-    """A unit at work; ``lost_s`` is the work that a stop would lose."""
-
-    unit: Unit
-    step: Step
-    priority: int
-    lost_s: float
-
-    @property
-    def cost(self) -> float:
-        """Return the core-seconds that a stop throws away."""
-        cores = self.step.resources.cores_milli / 1000
-        cores += CORES_PER_ACCELERATOR * self.step.resources.accelerators
-        return self.lost_s * cores * self.unit.count
-
-
 @dataclass(frozen=True, slots=True)
 class Assignment:
     """A unit and the worker for each of its tasks."""
@@ -122,7 +111,7 @@
             return
         workers = self._place(waiting, self._soon)
         if workers is None and waiting.priority == 0:
-            workers = self._preempt(waiting)
+            workers = self._await_ends(waiting) or self._preempt(waiting)
         if workers is not None and waiting.priority == 0:
             # Keeps the room for this unit until it is free.
             self._take(self._free, waiting.step, workers)
@@ -145,38 +134,57 @@
             waiting, rooms, self._state.workers, present, self._state.now_s
         )
 
-    def _preempt(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
-        """Stop the work that loses least until the unit would fit."""
+    def _await_ends(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
+        """Return where the unit fits once work that is about to end has."""
+        waited_s = self._state.now_s - waiting.unit.waiting_since_s
+        left_s = END_WAIT_S - waited_s
         rooms = dict(self._soon)
-        chosen: list[RunningUnit] = []
-        for victim in self._victims:
-            if victim.priority <= waiting.priority:
-                continue
-            if victim.unit.key in self._stopped:
-                continue
-            release(rooms, victim)
-            chosen.append(victim)
-            workers = self._place(waiting, rooms)
-            if workers is not None:
-                chosen = self._spare(waiting, chosen)
-                for item in chosen:
-                    self._stop(item, waiting.unit)
-                return self._place(waiting, self._soon)
-        return None
-
-    def _spare(
-        self, waiting: WaitingUnit, chosen: list[RunningUnit]
-    ) -> list[RunningUnit]:
-        """Drop the victims without whom the unit fits as well."""
-        needed = list(chosen)
-        for victim in sorted(chosen, key=lambda item: -item.cost):
-            rooms = dict(self._soon)
-            rest = [item for item in needed if item is not victim]
-            for item in rest:
+        for item in self._state.running:
+            if item.left_s <= left_s and not item.unit.stopping:
                 release(rooms, item)
-            if self._place(waiting, rooms) is not None:
-                needed = rest
-        return needed
+        return self._place(waiting, rooms)
+
+    def _preempt(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
+        """Stop the work that loses least; return where the unit then fits."""
+        step = waiting.step
+        victims = {
+            worker: [
+                item
+                for item in items
+                if item.priority > waiting.priority
+                and item.unit.key not in self._stopped
+            ]
+            for worker, items in self._victims.items()
+        }
+        best: Sacrifice | None = None
+        for group in self._groups_for(waiting):
+            found = choose_victims(
+                step,
+                waiting.unit.count,
+                group,
+                self._soon,
+                self._spread.get(waiting.unit.step_key, Counter()),
+                victims,
+            )
+            if found is not None and (best is None or found.cost < best.cost):
+                best = found
+        if best is None:
+            return None
+        for item in best.victims:
+            self._stop(item, waiting.unit)
+        return tuple(best.workers)
+
+    def _groups_for(self, waiting: WaitingUnit) -> list[list[str]]:
+        """Return the groups of workers among which room may be freed.
+
+        Work away from its data or over several racks takes several times as
+        long, so other workers come in only where no such group exists.
+        """
+        allowed = find_allowed(waiting.step, self._soon, self._state.workers)
+        groups = group_workers(waiting.step, allowed, self._state.workers)
+        size = waiting.unit.count
+        groups = [group for group in groups if group]
+        return groups if groups and size else [allowed]
 
     def _stop(self, victim: RunningUnit, unit: Unit) -> None:
         self._stopped.add(victim.unit.key)
@@ -184,12 +192,18 @@
         self._plan.stops.append((victim.unit, unit))
 
 
-def index_victims(running: Iterable[RunningUnit]) -> list[RunningUnit]:
-    """Return what may be stopped, least loss for its size first."""
-    return sorted(
-        (item for item in running if not item.unit.stopping),
-        key=lambda item: (-item.priority, item.cost),
-    )
+def index_victims(
+    running: Iterable[RunningUnit],
+) -> dict[str, list[RunningUnit]]:
+    """Return what may be stopped on each worker, the least loss first."""
+    found: dict[str, list[RunningUnit]] = {}
+    for item in sorted(running, key=lambda item: item.cost):
+        if item.unit.stopping:
+            continue
+        workers = {member.worker for member in item.unit.open_members()}
+        for worker in workers:
+            found.setdefault(worker, []).append(item)
+    return found
 
 
 def count_spread(running: Iterable[RunningUnit]) -> dict[tuple, Counter]:
@@ -201,20 +215,6 @@
     return spread
 
 
-def release(rooms: dict[str, Resources], victim: RunningUnit) -> None:
-    """Add to the rooms what a running unit holds."""
-    for member in victim.unit.open_members():
-        if member.worker in rooms:
-            rooms[member.worker] += count_room(victim.step)
-
-
-def count_room(step: Step) -> Resources:
-    """Return what one task takes of a worker's room."""
-    if not step.filler:
-        return step.resources
-    return Resources(0, step.resources.memory_mb, step.resources.accelerators)
-
-
 def place_unit(
     waiting: WaitingUnit,
     rooms: dict[str, Resources],
@@ -229,12 +229,7 @@
     if any rack has the room, and else over several.
     """
     step = waiting.step
-    allowed = [
-        worker
-        for worker in rooms
-        if not step.required_label
-        or step.required_label in workers[worker].labels
-    ]
+    allowed = find_allowed(step, rooms, workers)
     count = waiting.unit.count
     for group in group_workers(step, allowed, workers):
         placed = fill_workers(step, count, group, rooms, present)
@@ -246,6 +241,20 @@
     return fill_workers(step, count, allowed, rooms, present)
 
 
+def find_allowed(
+    step: Step,
+    rooms: Mapping[str, Resources],
+    workers: dict[str, WorkerFacts],
+) -> list[str]:
+    """Return the workers that have the label a step requires."""
+    label = step.required_label
+    return [
+        worker
+        for worker in rooms
+        if not label or label in workers[worker].labels
+    ]
+
+
 def group_workers(
     step: Step, allowed: list[str], workers: dict[str, WorkerFacts]
 ) -> list[list[str]]:
--- /dev/null
+++ b/hickorywing/policy/poolpreemption.py
@@ -0,0 +1,143 @@
+"""Choose the running work that gives way to an urgent unit.
+
+Answers urgent gangs on full workers: the room of whole workers has to be
+freed at once, and every unit that is stopped loses what it has not saved. A
+gang loses the work of all its members, wherever they are, so the choice is
+made by the loss of whole units, worker by worker.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+
+from hickorywing.policy.poolmodel import Resources
+from hickorywing.policy.poolmodel import Step
+from hickorywing.policy.poolroom import count_room
+from hickorywing.policy.poolruns import Unit
+
+__all__ = ["RunningUnit", "Sacrifice", "choose_victims", "release"]
+
+# The price of one accelerator in cores, as the users count thrown-away work.
+CORES_PER_ACCELERATOR = 8
+
+
+@dataclass(frozen=True, slots=True)
+class RunningUnit:
+    """A unit at work.
+
+    ``lost_s`` is the time of work that a stop would lose, ``left_s`` the
+    estimate of what it still needs, infinite while nothing is known.
+    """
+
+    unit: Unit
+    step: Step
+    priority: int
+    lost_s: float
+    left_s: float = float("inf")
+
+    @property
+    def cost(self) -> float:
+        """Return the core-seconds that a stop throws away."""
+        cores = self.step.resources.cores_milli / 1000
+        cores += CORES_PER_ACCELERATOR * self.step.resources.accelerators
+        return self.lost_s * cores * self.unit.count
+
+
+@dataclass(slots=True)
+class Sacrifice:
+    """Units to stop, and where the urgent unit then fits."""
+
+    cost: float = 0.0
+    victims: list[RunningUnit] = field(default_factory=list)
+    workers: list[str] = field(default_factory=list)
+
+
+def release(rooms: dict[str, Resources], victim: RunningUnit) -> None:
+    """Add to the rooms what a running unit holds."""
+    for member in victim.unit.open_members():
+        if member.worker in rooms:
+            rooms[member.worker] += count_room(victim.step)
+
+
+def choose_victims(
+    step: Step,
+    count: int,
+    group: Iterable[str],
+    rooms: dict[str, Resources],
+    present: Counter,
+    victims: dict[str, list[RunningUnit]],
+) -> Sacrifice | None:
+    """Return the cheapest way found to fit ``count`` tasks into a group.
+
+    ``victims`` lists for each worker the units that may be stopped, the
+    cheapest first. Tasks are placed one after another, each where it costs
+    least; ``None`` means that even stopping all of them frees too little.
+    """
+    need = count_room(step)
+    left = dict(rooms)
+    used = Counter(present)
+    chosen = Sacrifice()
+    stopped: set[tuple] = set()
+    workers = list(group)
+    for _ in range(count):
+        best = None
+        for worker in workers:
+            if step.spread_limit and used[worker] >= step.spread_limit:
+                continue
+            units = free_worker(
+                need, left[worker], worker, victims.get(worker, ()), stopped
+            )
+            if units is None:
+                continue
+            cost = sum(item.cost for item in units)
+            rank = (cost, left[worker].accelerators, worker)
+            if best is None or rank < best[0]:
+                best = (rank, worker, units)
+        if best is None:
+            return None
+        (cost, _, _), worker, units = best
+        for item in units:
+            stopped.add(item.unit.key)
+            release(left, item)
+        left[worker] = left[worker] - need
+        used[worker] += 1
+        chosen.cost += cost
+        chosen.victims.extend(units)
+        chosen.workers.append(worker)
+    return chosen
+
+
+def free_worker(
+    need: Resources,
+    room: Resources,
+    worker: str,
+    victims: Iterable[RunningUnit],
+    stopped: set[tuple],
+) -> list[RunningUnit] | None:
+    """Return the units to stop so that a task fits, ``None`` if none do."""
+    units: list[RunningUnit] = []
+    for item in victims:
+        if need.fits_in(room):
+            break
+        if item.unit.key in stopped:
+            continue
+        units.append(item)
+        room = room + held_on(item, worker)
+    if not need.fits_in(room):
+        return None
+    for item in sorted(units, key=lambda unit: -unit.cost):
+        without = room - held_on(item, worker)
+        if need.fits_in(without):
+            units.remove(item)
+            room = without
+    return units
+
+
+def held_on(item: RunningUnit, worker: str) -> Resources:
+    """Return what a unit holds on one worker."""
+    held = Resources()
+    for member in item.unit.open_members():
+        if member.worker == worker:
+            held = held + count_room(item.step)
+    return held
--- a/hickorywing/policy/poolroom.py
+++ b/hickorywing/policy/poolroom.py
@@ -6,9 +6,8 @@
 from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolmodel import WorkerFacts
-from hickorywing.policy.poolplanner import count_room
 
-__all__ = ["PoolRoom", "measure_room"]
+__all__ = ["PoolRoom", "count_room", "measure_room"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +19,13 @@
     coming: dict[str, Resources]
 
 
+def count_room(step: Step) -> Resources:
+    """Return what one task takes of a worker's room."""
+    if not step.filler:
+        return step.resources
+    return Resources(0, step.resources.memory_mb, step.resources.accelerators)
+
+
 def measure_room(
     workers: dict[str, WorkerFacts],
     open_members: Iterable[tuple[str, Step, bool]],
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -82,7 +82,8 @@
 
     ``worker`` is an incarnation. ``seen`` is set once the worker has said
     that the run is there; ``tries`` counts the start orders sent.
-    ``stopped_ms`` is the worker's clock when it confirmed a stop.
+    ``stopped_ms`` is the worker's clock when it confirmed a stop, and
+    ``percent`` the share of its work done at ``percent_at_s``.
     """
 
     index: int
@@ -92,6 +93,13 @@
     tries: int = 0
     stopped_ms: int | None = None
     percent: int = 0
+    percent_at_s: float = 0.0
+
+    def note_percent(self, percent: int, now_s: float) -> None:
+        """Take in the share of work done, if it has changed."""
+        if percent != self.percent:
+            self.percent = percent
+            self.percent_at_s = now_s
 
 
 @dataclass(slots=True)
--- a/hickorywing/poolagent.py
+++ b/hickorywing/poolagent.py
@@ -28,6 +28,7 @@
 from hickorywing.platform.runner import PlatformWorker
 from hickorywing.platform.store import PlatformStore
 from hickorywing.program import cancel_tasks
+from hickorywing.program import guard_task
 from hickorywing.program import run_program
 from hickorywing.program import wait_for_stop
 from hickorywing.rows import Committed
@@ -145,9 +146,10 @@
             await server.start()
         row = AgentRow(settings.link, settings.zone, settings.pool)
         tasks = [
-            asyncio.create_task(watch.run()),
-            asyncio.create_task(
-                register_agent(store, settings.name, row, self._log)
+            guard_task(watch.run(), self._report),
+            guard_task(
+                register_agent(store, settings.name, row, self._log),
+                self._report,
             ),
         ]
         self._log.write("started")
@@ -157,6 +159,9 @@
         await http.close()
         self._log.write("stopped")
 
+    def _report(self, trace: str) -> None:
+        self._log.write("part died", trace=trace)
+
 
 def run_agent(settings: Path) -> None:
     """Run an agent with a settings file."""
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -37,9 +37,10 @@
 from hickorywing.rows import RowStore
 from hickorywing.rows import StoredRow
 from hickorywing.rows import StoreUnavailable
+from hickorywing.runcontrol import ControllerTerms
 from hickorywing.runcontrol import RunControl
 
-__all__ = ["ControllerTerms", "PoolController"]
+__all__ = ["PoolController"]
 
 RETRY_S = 0.2
 FEED_WAIT_S = 2.0
@@ -52,13 +53,6 @@
 COUNT_EVERY_S = 0.5
 
 
-class ControllerTerms(msgspec.Struct, frozen=True):
-    """Bounds of the deployment that a controller keeps, in seconds."""
-
-    lease_limit_s: float
-    config_age_limit_s: float
-
-
 class PoolController:
     """One candidate for a pool's controller, and the controller itself."""
 
@@ -125,9 +119,8 @@
         self._committer = Committer(lease, store, log)
         self._counts: dict[str, int] = {}
         self._runs = RunControl(
-            self._pool, lease, view, terms.lease_limit_s,
-            terms.config_age_limit_s, self._committer, log, metrics,
-        )  # fmt: skip
+            lease, view, terms, self._committer, log, metrics
+        )
 
     def _may_renew(self) -> bool:
         return self._lease.unconfirmed_s() < LEASE_S + RENEW_UNCONFIRMED_S
@@ -242,7 +235,7 @@
         state = JobState(job, row.version, now_s())
         stored = None if progress is None else progress.get(job_id)
         if stored is not None and stored.value is not None:
-            restore_progress(state, stored.value, now_s())
+            restore_progress(state, stored.value)
         self._runs.add(state, restored=progress is not None)
 
     async def _follow_agents(self) -> None:
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -22,12 +22,14 @@
 from hickorywing.platform.callers import CallerTerms
 from hickorywing.platform.configsource import PlatformConfigurationSource
 from hickorywing.platform.store import PlatformStore
+from hickorywing.policy.poolprogress import ProgressTerms
 from hickorywing.poolconfig import ConfigurationView
-from hickorywing.poolcontroller import ControllerTerms
 from hickorywing.poolcontroller import PoolController
 from hickorywing.program import cancel_tasks
+from hickorywing.program import guard_task
 from hickorywing.program import run_program
 from hickorywing.program import wait_for_stop
+from hickorywing.runcontrol import ControllerTerms
 from hickorywing.settings import PoolEntrySettings
 from hickorywing.settings import read_settings
 from hickorywing.statuscache import StatusCache
@@ -78,9 +80,9 @@
             store, self._view, self._log, CONFIG_WAIT_S
         )
         tasks = [
-            asyncio.create_task(source.run()),
-            asyncio.create_task(cache.run()),
-            asyncio.create_task(self._keep_controllers(store, http)),
+            guard_task(source.run(), self._report),
+            guard_task(cache.run(), self._report),
+            guard_task(self._keep_controllers(store, http), self._report),
         ]
         front = WebServer(callers.make_app(), settings.listen)
         others = [
@@ -95,6 +97,9 @@
         await http.close()
         self._log.write("stopped")
 
+    def _report(self, trace: str) -> None:
+        self._log.write("part died", trace=trace)
+
     async def _stop(
         self, front: WebServer, tasks: list[asyncio.Task[None]]
     ) -> None:
@@ -135,6 +140,9 @@
         terms = ControllerTerms(
             lease_limit_s=self._settings.lease_limit_s,
             config_age_limit_s=self._settings.zone_age_limit_s,
+            progress=ProgressTerms(
+                self._settings.save_s, self._settings.restore_s
+            ),
         )
         while True:
             for pool in self._view.pools() - self._controllers.keys():
@@ -148,7 +156,7 @@
                     self._log,
                     self._metrics,
                 )
-                task = asyncio.create_task(controller.run())
+                task = guard_task(controller.run(), self._report)
                 self._controllers[pool] = (controller, task)
             await asyncio.sleep(POOLS_EVERY_S)
 
--- a/hickorywing/program.py
+++ b/hickorywing/program.py
@@ -3,16 +3,26 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Iterable
+import os
 import signal
 import sys
+import traceback
 
 from hickorywing.errors import UserError
 from hickorywing.logs import configure_logs
 
-__all__ = ["EXIT_USER_ERROR", "cancel_tasks", "run_program", "wait_for_stop"]
+__all__ = [
+    "EXIT_USER_ERROR",
+    "cancel_tasks",
+    "guard_task",
+    "run_program",
+    "wait_for_stop",
+]
 
 EXIT_USER_ERROR = 2
+EXIT_PART_DIED = 3
 
 
 async def wait_for_stop() -> None:
@@ -32,6 +42,25 @@
     await asyncio.gather(*waiting, return_exceptions=True)
 
 
+def guard_task(
+    work: Coroutine[None, None, None], report: Callable[[str], None]
+) -> asyncio.Task[None]:
+    """Run a part that must not end by itself; its error ends the program.
+
+    The platform starts the program again. A part that died unnoticed would
+    leave a process that looks alive and does nothing.
+    """
+
+    async def run() -> None:
+        try:
+            await work
+        except Exception:
+            report(traceback.format_exc())
+            os._exit(EXIT_PART_DIED)
+
+    return asyncio.ensure_future(run())
+
+
 def run_program(start: Callable[[], Awaitable[None]], name: str) -> None:
     """Run a daemon; user errors end it with their text and exit code 2."""
     configure_logs()
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from hickorywing.agentlink import AgentLink
 from hickorywing.clock import now_s
@@ -21,8 +22,11 @@
 from hickorywing.policy.poolplanner import Assignment
 from hickorywing.policy.poolplanner import PlanInput
 from hickorywing.policy.poolplanner import Planner
-from hickorywing.policy.poolplanner import RunningUnit
 from hickorywing.policy.poolplanner import WaitingUnit
+from hickorywing.policy.poolpreemption import RunningUnit
+from hickorywing.policy.poolprogress import estimate_left_s
+from hickorywing.policy.poolprogress import estimate_lost_s
+from hickorywing.policy.poolprogress import ProgressTerms
 from hickorywing.policy.poolroom import measure_room
 from hickorywing.policy.poolroom import PoolRoom
 from hickorywing.policy.poolruns import Ending
@@ -36,7 +40,7 @@
 from hickorywing.runorders import OpenMember
 from hickorywing.runorders import RunOrders
 
-__all__ = ["RunControl"]
+__all__ = ["ControllerTerms", "RunControl"]
 
 # A worker that has not been heard of for this long gets no new work: it is
 # longer than an idle watch and one retry.
@@ -47,30 +51,40 @@
 LEASE_SLACK_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class ControllerTerms:
+    """Bounds of the deployment that a controller keeps, in seconds."""
+
+    lease_limit_s: float
+    config_age_limit_s: float
+    progress: ProgressTerms = ProgressTerms()
+
+
 class RunControl:
     """The jobs of one pool during one term of its controller."""
 
     def __init__(
         self,
-        pool: str,
         lease: PoolLease,
         view: ConfigurationView,
-        lease_limit_s: float,
-        config_age_limit_s: float,
+        terms: ControllerTerms,
         committer: Committer,
         log: DecisionLog,
         metrics: Metrics,
     ) -> None:
         self.jobs: dict[str, JobState] = {}
-        self._pool = pool
+        self._pool = lease.pool
         self._lease = lease
         self._view = view
-        self._config_age_limit_s = config_age_limit_s
+        self._config_age_limit_s = terms.config_age_limit_s
+        self._progress = terms.progress
         self._committer = committer
         self._log = log
         self._metrics = metrics
         self._workers: dict[str, AgentLink] = {}
-        self._earlier_leases_end_s = now_s() + lease_limit_s + LEASE_SLACK_S
+        self._earlier_leases_end_s = (
+            now_s() + terms.lease_limit_s + LEASE_SLACK_S
+        )
         self._cancels: set[str] = set()
         self._live: dict[str, JobState] = {}
         self._ends: dict[str, dict[int, bool]] = {}
@@ -333,7 +347,7 @@
             self._metrics.observe(
                 "start_to_running_seconds", now_s() - item.unit.placed_at_s
             )
-        member.percent = run.percent
+        member.note_percent(run.percent, now_s())
         if run.saved:
             item.unit.saved = run.saved
         self._orders.check_stop(member, report.looked_ms)
@@ -410,11 +424,13 @@
         now = now_s()
         for state in self._live.values():
             for unit in state.running_units():
+                step = state.job.steps[unit.step]
                 yield RunningUnit(
                     unit,
-                    state.job.steps[unit.step],
+                    step,
                     state.job.terms.priority,
-                    now - unit.placed_at_s,
+                    estimate_lost_s(unit, step, now, self._progress),
+                    estimate_left_s(unit, now),
                 )
 
     def _measure_room(self) -> PoolRoom:
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -8,8 +8,11 @@
 from hickorywing.policy.poolplanner import Plan
 from hickorywing.policy.poolplanner import PlanInput
 from hickorywing.policy.poolplanner import Planner
-from hickorywing.policy.poolplanner import RunningUnit
 from hickorywing.policy.poolplanner import WaitingUnit
+from hickorywing.policy.poolpreemption import RunningUnit
+from hickorywing.policy.poolprogress import estimate_left_s
+from hickorywing.policy.poolprogress import estimate_lost_s
+from hickorywing.policy.poolprogress import ProgressTerms
 from hickorywing.policy.poolroom import measure_room
 from hickorywing.policy.poolruns import JobState
 
@@ -81,7 +84,13 @@
                 unit,
                 state.job.steps[unit.step],
                 state.job.terms.priority,
-                self.now_s - unit.placed_at_s,
+                estimate_lost_s(
+                    unit,
+                    state.job.steps[unit.step],
+                    self.now_s,
+                    ProgressTerms(),
+                ),
+                estimate_left_s(unit, self.now_s),
             )
             for state in self.jobs.values()
             for unit in state.running_units()
--- a/tests/test_poolplanner.py
+++ b/tests/test_poolplanner.py
@@ -111,3 +111,64 @@
             pool.run()
         pool.add(make_job("large", steps=(gpu_step(8),)))
         assert len(pool.run().starts) == 1
+
+
+class TestSacrifice:
+    """Urgent gangs on full workers cost the least work that is possible."""
+
+    def test_saved_work_goes_first(self):
+        pool = Pool(workers=2)
+        pool.add(make_job("unsaved", steps=(gpu_step(8),), priority=2))
+        pool.run()
+        pool.now_s += 1
+        pool.add(
+            make_job(
+                "saved", steps=(gpu_step(8, checkpoints=True),), priority=2
+            )
+        )
+        pool.run()
+        pool.now_s += 30
+        pool.add(make_job("new", steps=(gpu_step(8),), priority=0))
+        plan = pool.run()
+        assert [victim.job_id for victim, _ in plan.stops] == ["saved"]
+
+    def test_a_gang_over_many_workers_is_spared(self):
+        pool = Pool(workers=4)
+        wide = (gpu_step(8, count=3, gang=True),)
+        pool.add(make_job("wide", steps=wide, priority=2))
+        pool.run()
+        pool.now_s -= 10
+        pool.add(make_job("single", steps=(gpu_step(8),), priority=2))
+        pool.run()
+        pool.now_s += 20
+        pool.add(make_job("new", steps=(gpu_step(4),), priority=0))
+        plan = pool.run()
+        assert [victim.job_id for victim, _ in plan.stops] == ["single"]
+
+    def test_a_gang_uses_the_workers_that_one_stop_frees(self):
+        pool = Pool(workers=4)
+        wide = (gpu_step(8, count=2, gang=True),)
+        pool.add(make_job("wide", steps=wide, priority=2))
+        pool.run()
+        for name in ("a", "b"):
+            pool.add(make_job(name, steps=(gpu_step(8),), priority=2))
+        pool.run()
+        pool.now_s += 10
+        pool.add(make_job("new", steps=wide, priority=0))
+        plan = pool.run()
+        stopped = {victim.job_id for victim, _ in plan.stops}
+        assert stopped in ({"wide"}, {"a", "b"})
+        assert len(plan.stops) == len(stopped)
+
+    def test_waits_for_work_that_ends_at_once(self):
+        pool = Pool(workers=2)
+        for name in ("old", "ending"):
+            pool.add(make_job(name, steps=(gpu_step(8),), priority=2))
+            pool.run()
+        pool.now_s += 10
+        ending = pool.jobs["ending"].units[(0, 0, 0)]
+        ending.members[0].note_percent(97, pool.now_s)
+        pool.add(make_job("new", steps=(gpu_step(8),), priority=0))
+        assert pool.run().stops == []
+        pool.now_s += 2
+        assert len(pool.run().stops) == 1
