--- /dev/null
+++ b/hickorywing/commits.py
@@ -0,0 +1,22 @@
+"""What can become of a transaction besides a conflict."""
+
+from dataclasses import dataclass
+
+__all__ = ["Committed", "Refused", "Unknown"]
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """The writes took effect, all with this version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Nothing was written: the table said it is not serving."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The answer was lost; the writes may have taken effect."""
--- a/hickorywing/filters.py
+++ b/hickorywing/filters.py
@@ -1,16 +1,15 @@
 """The chain of filters that every HTTP request of an entry passes."""
 
-from abc import ABC
-from abc import abstractmethod
-from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
 import enum
 
-from blacksheep import Application
 from blacksheep import Request
 from blacksheep import Response
 
+from hickorywing.filterchain import Filter
+from hickorywing.filterchain import install_filters
+from hickorywing.filterchain import Proceed
 from hickorywing.metrics import Metrics
 from hickorywing.rules import hash_token
 from hickorywing.rules import RulesModel
@@ -29,8 +28,6 @@
     "find_caller",
 ]
 
-Proceed = Callable[[Request], Awaitable[Response]]
-
 CALLER_KEY = "hickorywing.caller"
 OPEN_PATHS = frozenset([b"/healthz", b"/metrics"])
 MAX_HEADERS = 64
@@ -57,14 +54,6 @@
     return request.scope[CALLER_KEY]
 
 
-class Filter(ABC):
-    """One step of the chain: answers, or lets the request proceed."""
-
-    @abstractmethod
-    async def handle(self, request: Request, proceed: Proceed) -> Response:
-        """Answer the request or pass it on."""
-
-
 class CountFilter(Filter):
     """Counts requests and answers by the class of their status."""
 
@@ -155,18 +144,3 @@
         response = answer_problem(Problem("not authenticated", 401, detail))
         response.add_header(b"WWW-Authenticate", b"Bearer")
         return response
-
-
-def install_filters(app: Application, filters: list[Filter]) -> None:
-    """Put the filters before every handler, the first one outermost."""
-    for item in filters:
-        app.middlewares.append(_make_middleware(item))
-
-
-def _make_middleware(item: Filter) -> Callable[..., Awaitable[Response]]:
-    """Return a filter as a function, which is what the library inspects."""
-
-    async def middleware(request: Request, handler: Proceed) -> Response:
-        return await item.handle(request, handler)
-
-    return middleware
--- a/hickorywing/platform/callers.py
+++ b/hickorywing/platform/callers.py
@@ -11,9 +11,9 @@
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
-from hickorywing.filters import Filter
-from hickorywing.filters import install_filters
-from hickorywing.filters import Proceed
+from hickorywing.filterchain import Filter
+from hickorywing.filterchain import install_filters
+from hickorywing.filterchain import Proceed
 from hickorywing.jobdesk import Answer
 from hickorywing.jobdesk import JobDesk
 from hickorywing.jobdesk import Outcome
--- a/hickorywing/policy/__init__.py
+++ b/hickorywing/policy/__init__.py
@@ -6,18 +6,7 @@
 projects can embed it by itself.
 """
 
-from hickorywing.policy.claims import ClaimBook
-from hickorywing.policy.gang import GangStart
-from hickorywing.policy.lease import LeaseHolder
-from hickorywing.policy.membership import Membership
-from hickorywing.policy.model import Adjacency
-from hickorywing.policy.model import Guarantee
-from hickorywing.policy.model import JobSpec
-from hickorywing.policy.model import WorkerSpec
-from hickorywing.policy.permit import MemberPermit
-from hickorywing.policy.register import ConfigurationRegister
-from hickorywing.policy.scheduler import ZoneScheduler
-from hickorywing.policy.selection import BackendSelector
+import importlib
 
 __all__ = [
     "Adjacency",
@@ -33,3 +22,25 @@
     "WorkerSpec",
     "ZoneScheduler",
 ]
+
+_MODULES = {
+    "Adjacency": "hickorywing.policy.model",
+    "BackendSelector": "hickorywing.policy.selection",
+    "ClaimBook": "hickorywing.policy.claims",
+    "ConfigurationRegister": "hickorywing.policy.register",
+    "GangStart": "hickorywing.policy.gang",
+    "Guarantee": "hickorywing.policy.model",
+    "JobSpec": "hickorywing.policy.model",
+    "LeaseHolder": "hickorywing.policy.lease",
+    "MemberPermit": "hickorywing.policy.permit",
+    "Membership": "hickorywing.policy.membership",
+    "WorkerSpec": "hickorywing.policy.model",
+    "ZoneScheduler": "hickorywing.policy.scheduler",
+}
+
+
+def __getattr__(name: str) -> object:
+    """Load a name's module on first use; a daemon uses few of them."""
+    if name not in _MODULES:
+        raise AttributeError(f"{__name__} has no {name}")
+    return getattr(importlib.import_module(_MODULES[name]), name)
--- a/hickorywing/poolagent.py
+++ b/hickorywing/poolagent.py
@@ -7,13 +7,11 @@
 
 import asyncio
 from pathlib import Path
-from typing import Annotated
 
 from blacksheep import Application
 from blacksheep import Content
 from blacksheep import Request
 from blacksheep import Response
-import cappa
 import msgspec
 
 from hickorywing.decisions import DecisionLog
@@ -29,6 +27,7 @@
 from hickorywing.platform.store import PlatformStore
 from hickorywing.program import cancel_tasks
 from hickorywing.program import guard_task
+from hickorywing.program import parse_settings_path
 from hickorywing.program import run_program
 from hickorywing.program import wait_for_stop
 from hickorywing.rows import Committed
@@ -169,13 +168,6 @@
     run_program(PoolAgent(checked).run, "hickorywing-pool-agent")
 
 
-@cappa.command(name="hickorywing-pool-agent")
-class AgentCommand:
-    """Pass a pool's orders on to the worker on the same VM."""
-
-    settings: Annotated[Path, cappa.Arg(help="Settings file.")]
-
-
 def main() -> None:
     """Run the program."""
-    run_agent(cappa.parse(AgentCommand).settings)
+    run_agent(parse_settings_path())
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -6,12 +6,10 @@
 
 import asyncio
 from pathlib import Path
-from typing import Annotated
 
 from blacksheep import Application
 from blacksheep import Request
 from blacksheep import Response
-import cappa
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
@@ -27,6 +25,7 @@
 from hickorywing.poolcontroller import PoolController
 from hickorywing.program import cancel_tasks
 from hickorywing.program import guard_task
+from hickorywing.program import parse_settings_path
 from hickorywing.program import run_program
 from hickorywing.program import wait_for_stop
 from hickorywing.runcontrol import ControllerTerms
@@ -167,13 +166,6 @@
     run_program(PoolEntry(checked).run, "hickorywing-pool-entry")
 
 
-@cappa.command(name="hickorywing-pool-entry")
-class EntryCommand:
-    """Serve callers, and control the pools whose lease is held."""
-
-    settings: Annotated[Path, cappa.Arg(help="Settings file.")]
-
-
 def main() -> None:
     """Run the program."""
-    run_entry(cappa.parse(EntryCommand).settings)
+    run_entry(parse_settings_path())
--- a/hickorywing/program.py
+++ b/hickorywing/program.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterable
+import importlib
 import os
+from pathlib import Path
 import signal
 import sys
 import traceback
@@ -17,6 +19,7 @@
     "EXIT_USER_ERROR",
     "cancel_tasks",
     "guard_task",
+    "parse_settings_path",
     "run_program",
     "wait_for_stop",
 ]
@@ -61,6 +64,19 @@
     return asyncio.ensure_future(run())
 
 
+def parse_settings_path() -> Path:
+    """Return the settings file that the command line names.
+
+    The command line's library takes a sixth of a daemon's start, so it is
+    loaded only to explain what is wrong, or for help.
+    """
+    arguments = sys.argv[1:]
+    if len(arguments) == 1 and not arguments[0].startswith("-"):
+        return Path(arguments[0])
+    command = importlib.import_module("hickorywing.daemoncommand")
+    return command.parse_command(sys.argv[0]).settings
+
+
 def run_program(start: Callable[[], Awaitable[None]], name: str) -> None:
     """Run a daemon; user errors end it with their text and exit code 2."""
     configure_logs()
--- a/hickorywing/rows.py
+++ b/hickorywing/rows.py
@@ -11,10 +11,10 @@
 import asyncio
 from dataclasses import dataclass
 
+from hickorywing.commits import Committed
+from hickorywing.commits import Refused
+from hickorywing.commits import Unknown
 from hickorywing.errors import HickorywingError
-from hickorywing.table import Committed
-from hickorywing.table import Refused
-from hickorywing.table import Unknown
 
 __all__ = [
     "Commit",
--- a/hickorywing/table.py
+++ b/hickorywing/table.py
@@ -17,6 +17,9 @@
 from blacksheep.client import ClientSession
 import msgspec
 
+from hickorywing.commits import Committed
+from hickorywing.commits import Refused
+from hickorywing.commits import Unknown
 from hickorywing.errors import HickorywingError
 from hickorywing.web import CLIENT_IDLE_S
 
@@ -77,13 +80,6 @@
     nonce: str
 
 
-@dataclass(frozen=True, slots=True)
-class Committed:
-    """The writes took effect, all with this version."""
-
-    version: int
-
-
 @dataclass(frozen=True, slots=True)
 class Conflict:
     """Nothing was written; these rows had other versions."""
@@ -91,16 +87,6 @@
     rows: tuple[Row, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """Nothing was written: the table said it is not serving."""
-
-
-@dataclass(frozen=True, slots=True)
-class Unknown:
-    """The answer was lost; the writes may have taken effect."""
-
-
 Commit = Committed | Conflict | Refused | Unknown
 
 
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -87,7 +87,11 @@
             await self._add_worker(f"w{number}", f"z{number % 2}")
         for number in range(entries):
             self._add_entry(f"e{number}", f"z{number % 2}")
-        await self.wait(self._is_serving)
+        try:
+            await self.wait(self._is_serving)
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_: object) -> None:
