Listen before the libraries are loaded

Ruled out: the platform's pause before the restart (not ours), the configuration (read in 0.03 s). The sockets are opened first; what comes waits in their queue.

--- a/hickorywing/__main__.py
+++ b/hickorywing/__main__.py
@@ -1,8 +1,11 @@
 """Run one of the programs: ``python3 -m hickorywing PROGRAM ...``."""
 
 import importlib
+from pathlib import Path
 import sys
 
+from hickorywing.listeners import open_early
+
 PROGRAMS = {
     "agent": "hickorywing.agent",
     "entry": "hickorywing.entry",
@@ -10,6 +13,7 @@
     "pool-entry": "hickorywing.poolentry",
     "standin": "hickorywing.standins.program",
 }
+POOL_PROGRAMS = frozenset({"pool-agent", "pool-entry"})
 USAGE_ERROR = 2
 
 
@@ -22,6 +26,8 @@
             file=sys.stderr,
         )
         sys.exit(USAGE_ERROR)
+    if name in POOL_PROGRAMS and len(sys.argv) > 2:
+        open_early(Path(sys.argv[2]))
     # Only the chosen program's libraries are loaded.
     module = importlib.import_module(PROGRAMS[name])
     sys.argv = [f"hickorywing-{name}", *sys.argv[2:]]
--- a/hickorywing/web.py
+++ b/hickorywing/web.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
-import socket
 from typing import Any
 
 from blacksheep import Application
@@ -20,6 +19,8 @@
 import msgspec
 import uvicorn
 
+from hickorywing.listeners import open_listener
+from hickorywing.listeners import split_address
 from hickorywing.metrics import Metrics
 
 __all__ = [
@@ -38,7 +39,6 @@
 
 Handler = Callable[..., Awaitable[Response]]
 
-BACKLOG = 512
 MAX_CONCURRENT = 2048
 SHUTDOWN_S = 60
 SERVER_IDLE_S = 75
@@ -124,12 +124,6 @@
     app.router.add(method, "*", handle)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and port of ``1.2.3.4:80``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves the signals to the program."""
 
@@ -146,14 +140,8 @@
 
     def __init__(self, app: Application, listen: str) -> None:
         self.app = app
-        host, port = split_address(listen)
-        # The protocol must be named, or asyncio leaves Nagle's algorithm on.
-        self._socket = socket.socket(
-            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
-        )
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((host, port))
-        self._socket.listen(BACKLOG)
+        self._socket = open_listener(listen)
+        host, _ = split_address(listen)
         self.port = self._socket.getsockname()[1]
         self.address = f"{host}:{self.port}"
         config = uvicorn.Config(
--- /dev/null
+++ b/tests/test_listeners.py
@@ -0,0 +1,30 @@
+"""Connections during a daemon's start wait instead of being refused."""
+
+import json
+from pathlib import Path
+import socket
+
+from platformsystem import free_address
+
+from hickorywing.listeners import open_early
+from hickorywing.listeners import open_listener
+from hickorywing.listeners import split_address
+
+
+class TestEarly:
+    """The sockets are open before the libraries are loaded."""
+
+    def test_connects_before_the_server_runs(self, tmp_path: Path):
+        address = free_address()
+        path = tmp_path / "settings.jsonc"
+        path.write_text(json.dumps({"listen": address}))
+        open_early(path)
+        with socket.create_connection(split_address(address), timeout=1):
+            pass
+        open_listener(address).close()
+
+    def test_unreadable_settings_open_nothing(self, tmp_path: Path):
+        path = tmp_path / "settings.jsonc"
+        path.write_text("{")
+        open_early(path)
+        open_early(tmp_path / "missing.jsonc")
