Store saves every 2 s, and refuse after three refusals of the store

Cause (refusals): a store that turns an entry away answers at once, yet the entry asked it for 0.8 s before it told the caller to come back. Ruled out for both: reports that came too late (the saves were 0.5 s old).

--- a/hickorywing/rows.py
+++ b/hickorywing/rows.py
@@ -37,6 +37,8 @@
 
 FIRST_RETRY_S = 0.05
 LAST_RETRY_S = 0.4
+# A store that refuses is busy or down for longer than the caller can wait.
+MOST_REFUSALS = 3
 
 
 class StoreUnavailable(HickorywingError):  # noqa: N818
@@ -176,13 +178,15 @@
     clock = asyncio.get_running_loop().time
     deadline = clock() + patience_s
     doubtful = False
+    refusals = 0
     pause_s = FIRST_RETRY_S
     while True:
         answer = await store.commit(transaction)
         if isinstance(answer, Committed | Mismatch):
             return answer
         doubtful = doubtful or isinstance(answer, Unknown)
-        if clock() + pause_s >= deadline:
+        refusals += isinstance(answer, Refused)
+        if refusals >= MOST_REFUSALS or clock() + pause_s >= deadline:
             return Unknown() if doubtful else Refused()
         await asyncio.sleep(pause_s)
         pause_s = min(2 * pause_s, LAST_RETRY_S)
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -49,6 +50,9 @@
 COMMIT_STUCK_S = 0.5
 # Later than any lease that an earlier controller may have granted.
 LEASE_SLACK_S = 0.5
+# One transaction for all jobs that save. What was saved since the last one is
+# lost with the controller and the worker together.
+STORE_SAVES_EVERY_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +96,8 @@
             lease, self._workers, self._end_member, self.wake, log, metrics
         )
         self._planning = False
+        self._unstored_saves: set[str] = set()
+        self._saves_stored_s = 0.0
 
     def close(self) -> None:
         """Stop giving orders."""
@@ -110,8 +116,26 @@
             if state.job.occurrences:
                 state.open_due_occurrences(unix_s, now)
         self._end_lapsed(now)
+        if now - self._saves_stored_s >= STORE_SAVES_EVERY_S:
+            self._saves_stored_s = now
+            self._store_saves()
         self._act()
 
+    def _store_saves(self) -> None:
+        """Store the newest saves, so that a loss of all VMs keeps them."""
+        for job_id in self._unstored_saves & self._live.keys():
+            self._store(self._live[job_id])
+        self._unstored_saves.clear()
+
+    def _store(
+        self, state: JobState, stored: Callable[[], None] | None = None
+    ) -> None:
+        self._committer.put(
+            progress_key(self._pool, state.job.job_id),
+            lambda: encode_progress(state),
+            stored,
+        )
+
     def _act(self) -> None:
         self._planning = False
         if self._may_place():
@@ -164,10 +188,7 @@
                 unit.stopping = unit.stopping or f"job {state.status}"
             if not any(state.running_units()):
                 self._live.pop(state.job.job_id, None)
-        self._committer.put(
-            progress_key(self._pool, state.job.job_id),
-            lambda: encode_progress(state),
-        )
+        self._store(state)
         self.wake()
 
     # Reports of workers
@@ -282,11 +303,7 @@
         if item.step.lasting and ending is Ending.DONE:
             ending = Ending.STOPPED
         self._end_member(item.state, item.unit, item.member, ending, end.saved)
-        self._committer.put(
-            progress_key(self._pool, item.state.job.job_id),
-            lambda: encode_progress(item.state),
-            note,
-        )
+        self._store(item.state, note)
 
     def _note_end(self, link: AgentLink, worker: str, number: int) -> None:
         """Let the worker forget the ends that are stored without a gap."""
@@ -348,8 +365,9 @@
                 "start_to_running_seconds", now_s() - item.unit.placed_at_s
             )
         member.note_percent(run.percent, now_s())
-        if run.saved:
+        if run.saved and run.saved != item.unit.saved:
             item.unit.saved = run.saved
+            self._unstored_saves.add(item.state.job.job_id)
         self._orders.check_stop(member, report.looked_ms)
 
     def _take_absent(self, item: OpenMember, report: WorkerReport) -> None:
@@ -488,11 +506,7 @@
                 self.wake()
 
         state.update_status()
-        self._committer.put(
-            progress_key(self._pool, unit.job_id),
-            lambda: encode_progress(state),
-            commit,
-        )
+        self._store(state, commit)
         for worker in assignment.workers:
             self._workers[worker].set_busy(True)
 
--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -1,6 +1,7 @@
 """A worker that speaks the platform's runner interface, with faults.
 
-A task's payload is JSON: ``run_s`` how long it works, ``how`` how it ends.
+A task's payload is JSON: ``run_s`` how long it works, ``how`` how it ends and
+``saves`` whether it saves its progress.
 """
 
 import asyncio
@@ -37,6 +38,7 @@
     task: str
     run: int
     epoch: int
+    saved: str = ""
 
 
 @dataclass(slots=True)
@@ -48,6 +50,7 @@
     started_s: float
     ends_s: float
     how: str
+    saves: bool = False
     stopping: bool = False
 
 
@@ -56,6 +59,7 @@
 
     run_s: float = 0.1
     how: str = "done"
+    saves: bool = False
 
 
 class PlatformWorkerStandin:
@@ -199,10 +203,22 @@
         now_s = time.monotonic()
         task, run = body["task"], body["run"]
         self._runs[task] = Run(
-            task, run, now_s, now_s + payload.run_s, payload.how
+            task,
+            run,
+            now_s,
+            now_s + payload.run_s,
+            payload.how,
+            payload.saves,
         )
         self.starts.append(
-            StartRecord(time.time(), self.name, task, run, body["fence"])
+            StartRecord(
+                time.time(),
+                self.name,
+                task,
+                run,
+                body["fence"],
+                body.get("saved", ""),
+            )
         )
 
     async def handle_stop(self, request: Request) -> Response:
@@ -243,7 +259,13 @@
                 run.ends_s - run.started_s, 0.001
             )
             running.append(
-                [run.task, run.run, "", min(99, int(100 * worked)), 0]
+                [
+                    run.task,
+                    run.run,
+                    run.saves * f"{int(10 * worked):03}",
+                    min(99, int(100 * worked)),
+                    0,
+                ]
             )
         return {
             "clock-ms": self.clock_ms(),
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -230,9 +230,10 @@
         entry: str = "e0",
         run_s: float = 0.1,
         how: str = "done",
+        saves: bool = False,
         **step,
     ) -> HttpAnswer:
-        spec = json.dumps({"run_s": run_s, "how": how})
+        spec = json.dumps({"run_s": run_s, "how": how, "saves": saves})
         steps = [{"count": 1, "cpu": 1000, "gpu": 1, **step}]
         body = {"spec": spec, "steps": steps}
         return await self.call(entry, "POST", f"/{queue}/{job_id}", body)
--- a/tests/test_jobdesk.py
+++ b/tests/test_jobdesk.py
@@ -55,10 +55,11 @@
     async def test_refused_store_is_not_run(self):
         store = MemoryRowStore()
         store.plan_faults(*[StoreFault.REFUSE] * 20)
-        answer = await make_desk(store).submit(make_job(), 0.2)
+        answer = await make_desk(store).submit(make_job(), 3.0)
         assert answer.outcome is Outcome.NOT_RUN
         assert answer.retry_after_s > 0
         assert not store.rows
+        assert store.commits <= 3
 
     async def test_unreachable_store_is_refused_at_once(self):
         store = MemoryRowStore()
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -1,5 +1,6 @@
 """Jobs through real entries and agents, against the platform's emulator."""
 
+import asyncio
 import json
 
 from platformsystem import make_configuration
@@ -81,6 +82,19 @@
             await system.wait_status_after_restart(JOB + "8", "completed")
             assert len(system.starts()) == 4
 
+    async def test_loss_of_all_vms_keeps_what_was_saved(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            await system.submit(JOB + "f", run_s=8, saves=True)
+            await system.wait(lambda: system.starts())
+            await asyncio.sleep(5)
+            system.kill("e0")
+            system.kill("w0")
+            system.workers["w0"].crash()
+            system.restart("e0")
+            system.restart("w0")
+            await system.wait(lambda: len(system.starts()) == 2)
+            assert system.starts()[1].saved >= "002"
+
     async def test_planned_stop_hands_over_at_once(self, tmp_path):
         async with PlatformSystem(tmp_path) as system:
             holder = system.controller()
