--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -65,7 +65,8 @@
     """The state that a plan is made from.
 
     ``free`` is the room of each usable worker now, ``coming`` what members
-    that are being stopped will free there.
+    that are being stopped will free there. ``suspects`` have failed of late
+    and come after all others.
     """
 
     workers: dict[str, WorkerFacts]
@@ -74,6 +75,7 @@
     waiting: list[WaitingUnit]
     running: list[RunningUnit]
     now_s: float
+    suspects: frozenset[str] = frozenset()
 
 
 class Planner:
@@ -130,9 +132,20 @@
         self, waiting: WaitingUnit, rooms: dict[str, Resources]
     ) -> tuple[str, ...] | None:
         present = self._spread.get(waiting.unit.step_key, Counter())
-        return place_unit(
-            waiting, rooms, self._state.workers, present, self._state.now_s
-        )
+        state = self._state
+        avoided = state.suspects | waiting.unit.failed_on
+        for shunned in (avoided, frozenset()) if avoided else (avoided,):
+            left = {
+                worker: room
+                for worker, room in rooms.items()
+                if worker not in shunned
+            }
+            workers = place_unit(
+                waiting, left, state.workers, present, state.now_s
+            )
+            if workers is not None:
+                return workers
+        return None
 
     def _await_ends(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
         """Return where the unit fits once work that is about to end has."""
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -108,7 +108,8 @@
 
     ``committed`` tells whether the place of the present run is stored; no
     start may be ordered before. ``stopping`` names why the run is being
-    closed although it has not ended by itself.
+    closed although it has not ended by itself. ``failed_on`` are the workers
+    on which a member failed.
     """
 
     job_id: str
@@ -125,6 +126,7 @@
     stopping: str = ""
     waiting_since_s: float = 0.0
     placed_at_s: float = 0.0
+    failed_on: set[str] = field(default_factory=set)
 
     @property
     def key(self) -> tuple[str, int, int, int]:
@@ -184,6 +186,7 @@
                 other.ending = Ending.DONE
         elif ending is Ending.FAILED and not self.done:
             self.failures += 1
+            self.failed_on.add(member.worker)
         if self.count > 1 and not self.done and self.running:
             self.stopping = self.stopping or f"member {ending}"
 
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -19,6 +19,7 @@
 from hickorywing.orders import EndedRun
 from hickorywing.orders import RunningRun
 from hickorywing.orders import WorkerReport
+from hickorywing.policy.poolhealth import WorkerHealth
 from hickorywing.policy.poolmodel import WorkerFacts
 from hickorywing.policy.poolplanner import Assignment
 from hickorywing.policy.poolplanner import PlanInput
@@ -82,6 +83,7 @@
         self._view = view
         self._config_age_limit_s = terms.config_age_limit_s
         self._progress = terms.progress
+        self._health = WorkerHealth()
         self._committer = committer
         self._log = log
         self._metrics = metrics
@@ -237,6 +239,7 @@
         for worker in gone:
             del self._workers[worker]
             self._ends.pop(worker, None)
+            self._health.forget(worker)
         self._workers[report.worker] = link
         self._ends[report.worker] = {}
         self._log.write(
@@ -327,6 +330,7 @@
     ) -> None:
         """Note that a member has ended, and store it."""
         unit.end(member, ending, saved)
+        self._note_health(unit, member, ending)
         self._log.write(
             "run ended",
             task=format_task(unit.task(member)),
@@ -340,6 +344,17 @@
             unit.waiting_since_s = now_s()
         self._settle(state)
 
+    def _note_health(self, unit: Unit, member: Member, ending: Ending) -> None:
+        """Learn from an ending how good its worker is."""
+        worker = member.worker
+        if ending is Ending.DONE:
+            self._health.note_done(worker)
+        elif ending is Ending.FAILED:
+            was_bad = self._health.is_bad(worker, now_s())
+            self._health.note_failed(worker, unit.job_id, now_s())
+            if self._health.is_bad(worker, now_s()) and not was_bad:
+                self._log.write("worker set aside", worker=worker)
+
     def _take_running(self, link: AgentLink, report: WorkerReport) -> None:
         """Compare the runs that a worker lists with what should be there."""
         listed = {(item.task, item.run) for item in report.running}
@@ -419,6 +434,11 @@
                 waiting,
                 list(self._running_units()),
                 now_s(),
+                frozenset(
+                    worker
+                    for worker in room.workers
+                    if self._health.is_suspect(worker, now_s())
+                ),
             )
         ).make_plan()
         for assignment in plan.starts:
@@ -481,6 +501,7 @@
             and report.zone not in self._view.zones_out
             and link.silent_s() < WORKER_SILENT_S
             and self._orders.trusts(name)
+            and not self._health.is_bad(name, now_s())
         )
 
     def _place(self, assignment: Assignment) -> None:
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -53,6 +53,7 @@
             for number in range(workers)
         }
         self.jobs: dict[str, JobState] = {}
+        self.suspects: set[str] = set()
         self.now_s = 100.0
 
     def add(self, job: PoolJob) -> JobState:
@@ -103,6 +104,7 @@
                 waiting,
                 running,
                 self.now_s,
+                frozenset(self.suspects),
             )
         ).make_plan()
 
--- /dev/null
+++ b/tests/test_poolhealth.py
@@ -0,0 +1,62 @@
+"""Workers that fail everything, and jobs that fail everywhere."""
+
+from poolhelpers import gpu_step
+from poolhelpers import make_job
+from poolhelpers import Pool
+
+from hickorywing.policy.poolhealth import FORGET_S
+from hickorywing.policy.poolhealth import WorkerHealth
+from hickorywing.policy.poolruns import Ending
+
+
+class TestWorkerHealth:
+    """Only failures of several jobs make a worker bad."""
+
+    def test_one_job_makes_it_suspect_at_most(self):
+        health = WorkerHealth()
+        for _ in range(5):
+            health.note_failed("w0", "poison", 10.0)
+        assert health.is_suspect("w0", 10.0)
+        assert not health.is_bad("w0", 10.0)
+
+    def test_two_jobs_make_it_bad_until_it_completes(self):
+        health = WorkerHealth()
+        health.note_failed("w0", "j1", 10.0)
+        health.note_failed("w0", "j2", 11.0)
+        assert health.is_bad("w0", 11.0)
+        health.note_done("w0")
+        assert not health.is_suspect("w0", 11.0)
+
+    def test_is_tried_again_later(self):
+        health = WorkerHealth()
+        health.note_failed("w0", "j1", 10.0)
+        health.note_failed("w0", "j2", 11.0)
+        assert not health.is_bad("w0", 11.0 + FORGET_S)
+
+
+class TestPlacement:
+    """A retry goes to another worker, new work to those above suspicion."""
+
+    def test_retry_avoids_the_worker_that_failed(self):
+        pool = Pool(workers=2)
+        state = pool.add(make_job(attempts=3))
+        (start,) = pool.run().starts
+        unit = start.unit
+        unit.end(unit.members[0], Ending.FAILED)
+        (again,) = pool.run().starts
+        assert again.workers != start.workers
+        assert state.units[(0, 0, 0)].failures == 1
+
+    def test_retry_uses_the_only_worker(self):
+        pool = Pool(workers=1)
+        pool.add(make_job(attempts=3))
+        (start,) = pool.run().starts
+        start.unit.end(start.unit.members[0], Ending.FAILED)
+        assert len(pool.run().starts) == 1
+
+    def test_suspects_come_last(self):
+        pool = Pool(workers=2)
+        pool.suspects.add("w0")
+        pool.add(make_job(steps=(gpu_step(8),)))
+        (start,) = pool.run().starts
+        assert start.workers == ("w1",)
