Explain a job from the logs of all processes; shorten the lease to 1.5 s

hickorywing explain ID LOG... merges the lines about a job with the changes of role, store and workers between them, and says what is missing.

--- /dev/null
+++ b/hickorywing/explain.py
@@ -0,0 +1,180 @@
+"""Give one account of a job from the log lines of all processes.
+
+Lines may come from any number of files, in any order, with text before the
+JSON, as a collector of logs adds it. Lines that can't be read are counted.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+import datetime
+from typing import Any
+
+import msgspec
+
+from hickorywing.policy.poolmodel import vm_of
+
+__all__ = ["Account", "LogLine", "explain_job", "format_account"]
+
+# Facts that every line has; the account prints them in columns.
+COMMON_FACTS = frozenset({"event", "process", "role", "timestamp", "job"})
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One event; ``at`` is by the clock of its process."""
+
+    at: datetime.datetime
+    process: str
+    event: str
+    facts: dict[str, Any]
+
+
+@dataclass(slots=True)
+class Account:
+    """What the logs say of one job.
+
+    ``lines`` are its own events and the changes of role, store and workers
+    between them. ``missing`` names what the logs should hold and do not.
+    """
+
+    job_id: str
+    lines: list[LogLine] = field(default_factory=list)
+    missing: list[str] = field(default_factory=list)
+    unreadable: int = 0
+
+
+# Events without a job that explain what happens to jobs.
+CONTEXT_EVENTS = frozenset(
+    {
+        "commit failed",
+        "configuration taken",
+        "epoch seen",
+        "feed lost its history",
+        "role lost",
+        "role released",
+        "role taken",
+        "started",
+        "stopping",
+        "store lost",
+        "store regained",
+        "worker answers",
+        "worker draining",
+        "worker found",
+        "worker left",
+        "worker set aside",
+        "worker silent",
+        "zone in",
+        "zone out",
+    }
+)
+
+
+def read_line(text: str) -> LogLine | None:
+    """Return the event in a line of text, if there is one."""
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        facts = msgspec.json.decode(text[start:].strip())
+        at = datetime.datetime.fromisoformat(facts["timestamp"])
+        return LogLine(at, facts["process"], facts["event"], facts)
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def names_job(line: LogLine, job_id: str) -> bool:
+    """Tell whether a line is about a job or one of its tasks."""
+    facts = line.facts
+    if facts.get("job") == job_id or facts.get("gives_way_to") == job_id:
+        return True
+    return str(facts.get("task", "")).startswith(f"{job_id}.")
+
+
+def explain_job(job_id: str, texts: Iterable[str]) -> Account:
+    """Return the account of a job."""
+    account = Account(job_id)
+    own: list[LogLine] = []
+    context: list[LogLine] = []
+    for text in texts:
+        if not text.strip():
+            continue
+        line = read_line(text)
+        if line is None:
+            account.unreadable += 1
+        elif names_job(line, job_id):
+            own.append(line)
+        elif line.event in CONTEXT_EVENTS:
+            context.append(line)
+    account.lines = sorted(
+        own + select_context(own, context),
+        key=lambda line: (line.at, line.process),
+    )
+    account.missing = find_missing(own, own + context)
+    return account
+
+
+def select_context(
+    own: list[LogLine], context: list[LogLine]
+) -> list[LogLine]:
+    """Return the other events between a job's first and last ones.
+
+    Events of workers and agents count only where the job was placed.
+    """
+    if not own:
+        return []
+    first = min(line.at for line in own)
+    last = max(line.at for line in own)
+    workers = find_workers(own)
+    vms = {vm_of(worker) for worker in workers}
+    return [
+        line
+        for line in context
+        if first <= line.at <= last
+        and line.facts.get("worker", "") in workers | {""}
+        and (line.facts.get("role") != "agent" or line.process in vms)
+    ]
+
+
+def find_workers(lines: Iterable[LogLine]) -> set[str]:
+    """Return the workers that a job was placed on."""
+    found: set[str] = set()
+    for line in lines:
+        found.update(line.facts.get("workers", ()))
+        found.update(filter(None, [line.facts.get("worker")]))
+    return found
+
+
+def find_missing(own: list[LogLine], known: list[LogLine]) -> list[str]:
+    """Return what the logs should hold of the job and do not."""
+    events = {line.event for line in own}
+    missing = []
+    if not own:
+        return ["no line names the job"]
+    if "job submitted" not in events:
+        missing.append("no entry logged the submission")
+    if "job status" not in events:
+        missing.append("no controller logged a change of status")
+    processes = {line.process for line in known}
+    vms = {vm_of(worker) for worker in find_workers(own)}
+    missing.extend(
+        f"no lines of the agent on {vm}" for vm in sorted(vms - processes)
+    )
+    return missing
+
+
+def format_account(account: Account) -> list[str]:
+    """Return the account as lines of text."""
+    lines = [f"job {account.job_id}"]
+    for line in account.lines:
+        facts = " ".join(
+            f"{name}={value}"
+            for name, value in line.facts.items()
+            if name not in COMMON_FACTS and value != ""
+        )
+        clock = line.at.strftime("%H:%M:%S.%f")[:-3]
+        lines.append(f"{clock}  {line.process:<14} {line.event:<20} {facts}")
+    lines.extend(f"missing: {text}" for text in account.missing)
+    if account.unreadable:
+        lines.append(f"missing: {account.unreadable} lines can't be read")
+    return lines
--- a/hickorywing/policy/poolmodel.py
+++ b/hickorywing/policy/poolmodel.py
@@ -15,6 +15,8 @@
     "Resources",
     "Step",
     "WorkerFacts",
+    "name_of",
+    "vm_of",
 ]
 
 
@@ -146,3 +148,13 @@
     version: int = 0
     zones_out: frozenset[str] = frozenset()
     guarantees: dict[str, int] = field(default_factory=dict)
+
+
+def vm_of(worker: str) -> str:
+    """Return the VM in an incarnation's name, ``VM/NAME@BORN``."""
+    return worker.partition("/")[0]
+
+
+def name_of(worker: str) -> str:
+    """Return an incarnation's name without when it was born."""
+    return worker.rpartition("@")[0]
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -34,12 +34,12 @@
 
 # A holder that dies leaves its pool without decisions for one lease, so the
 # lease is short; one renewal that times out after a probe fits into it.
-LEASE_S = 2.0
-RENEW_EVERY_S = 0.5
+LEASE_S = 1.5
+RENEW_EVERY_S = 0.4
 RETRY_S = 0.2
 # Keeps two candidates from writing in the same instant.
 CANDIDATE_SPREAD_S = 0.1
-WATCH_S = 0.8
+WATCH_S = 0.5
 
 
 class PoolLease:
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -20,6 +20,8 @@
 from hickorywing.orders import RunningRun
 from hickorywing.orders import WorkerReport
 from hickorywing.policy.poolhealth import WorkerHealth
+from hickorywing.policy.poolmodel import name_of
+from hickorywing.policy.poolmodel import vm_of
 from hickorywing.policy.poolmodel import WorkerFacts
 from hickorywing.policy.poolplanner import Assignment
 from hickorywing.policy.poolplanner import PlanInput
@@ -234,8 +236,8 @@
 
     def _meet_worker(self, link: AgentLink, report: WorkerReport) -> None:
         """Take in a new incarnation; what ran on earlier ones is lost."""
-        node = node_of(report.worker)
-        gone = [name for name in self._workers if node_of(name) == node]
+        vm = vm_of(report.worker)
+        gone = [name for name in self._workers if vm_of(name) == vm]
         for worker in gone:
             del self._workers[worker]
             self._ends.pop(worker, None)
@@ -252,7 +254,7 @@
         )
         for item in list(self._open_members()):
             worker = item.member.worker
-            if node_of(worker) == node and worker != report.worker:
+            if vm_of(worker) == vm and worker != report.worker:
                 self._lose_member(item, report.worker)
 
     def _lose_member(self, item: OpenMember, successor: str) -> None:
@@ -540,16 +542,6 @@
         self._metrics.count("preemptions")
 
 
-def node_of(worker: str) -> str:
-    """Return the VM in a worker's name, ``VM/NAME@BORN``."""
-    return worker.partition("/")[0]
-
-
-def name_of(worker: str) -> str:
-    """Return a worker's name without its incarnation."""
-    return worker.rpartition("@")[0]
-
-
 def read_ending(how: str) -> Ending:
     """Return an ending; one that is not known counts as stopped."""
     try:
--- a/hickorywing/ui.py
+++ b/hickorywing/ui.py
@@ -29,6 +29,8 @@
 from hickorywing.documents import load_document
 from hickorywing.documents import Model
 from hickorywing.errors import UserError
+from hickorywing.explain import explain_job
+from hickorywing.explain import format_account
 from hickorywing.findings import Finding
 from hickorywing.findings import FindingsError
 from hickorywing.inventory import check_inventory
@@ -207,6 +209,17 @@
     token: str
 
 
+@cappa.command(name="explain")
+@dataclass
+class Explain:
+    """Give an account of a job from the logs of all processes."""
+
+    job: Annotated[str, cappa.Arg(help="Id of the job.")]
+    logs: Annotated[
+        list[Path], cappa.Arg(help="Log files; standard input for none.")
+    ] = field(default_factory=list)
+
+
 @cappa.command(name="hickorywing")
 @dataclass
 class Hickorywing:
@@ -224,6 +237,7 @@
         | Job
         | Call
         | HashToken
+        | Explain
     ]
     entry: Annotated[
         str,
@@ -542,12 +556,30 @@
         print(f"{line}  {event['detail']}".rstrip())
 
 
+def explain_logs(command: Explain, as_json: bool) -> ExitCode:
+    """Print the account of a job."""
+    texts: list[str] = []
+    for path in command.logs:
+        with open(path, encoding="utf-8", errors="replace") as log:
+            texts.extend(log)
+    if not command.logs:
+        texts.extend(sys.stdin)
+    account = explain_job(command.job, texts)
+    if as_json:
+        print(msgspec.json.encode(account).decode())
+    else:
+        print("\n".join(format_account(account)))
+    return ExitCode.DONE
+
+
 def run_command(options: Hickorywing) -> ExitCode:
     """Run one command and return its exit code."""
     command = options.command
     if isinstance(command, HashToken):
         print(hash_token(command.token))
         return ExitCode.DONE
+    if isinstance(command, Explain):
+        return explain_logs(command, options.json)
     if isinstance(command, Check):
         findings = check_files(command.files)
         if findings:
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,50 @@
+"""The account of a job from the logs of all processes."""
+
+from hickorywing.explain import explain_job
+from hickorywing.explain import format_account
+
+HEAD = '{"process":"%s","event":"%s","timestamp":"2026-01-01T00:00:%s+00:00",'
+
+
+def line(process: str, event: str, second: str, facts: str) -> str:
+    return HEAD % (process, event, second) + facts + "}"
+
+
+LINES = [
+    line("e1", "run placed", "02.5", '"job":"a","workers":["v1/i-1@1"]'),
+    "12.5 e0 " + line("e0", "job submitted", "02.0", '"job":"a"'),
+    line("e1", "role taken", "02.2", '"epoch":2'),
+    line("e1", "worker silent", "02.6", '"worker":"v2/i-2@1"'),
+    line("e1", "run ended", "03.0", '"task":"a.0.0.0","worker":"v1/i-1@1"'),
+    line("e1", "job status", "03.1", '"job":"a","status":"completed"'),
+    line("e1", "job status", "03.2", '"job":"b","status":"completed"'),
+    "broken {",
+]
+
+
+class TestAccount:
+    """Lines come in any order, from any process, some broken."""
+
+    def test_orders_own_lines_and_context(self):
+        account = explain_job("a", LINES)
+        assert [item.event for item in account.lines] == [
+            "job submitted",
+            "role taken",
+            "run placed",
+            "run ended",
+            "job status",
+        ]
+
+    def test_says_what_is_missing(self):
+        account = explain_job("a", LINES)
+        assert account.unreadable == 1
+        assert account.missing == ["no lines of the agent on v1"]
+
+    def test_unknown_job(self):
+        account = explain_job("x", LINES)
+        assert account.missing == ["no line names the job"]
+
+    def test_text(self):
+        text = format_account(explain_job("a", LINES))
+        assert text[0] == "job a"
+        assert text[2].startswith("00:00:02.200  e1")
