Go on at a SIGHUP, and say what has changed in the settings

Ruled out: crashes (no trace in any log). Both daemons now check the file again and log the names of changed settings; these take effect at the next start. The test sends both the signal.

--- a/hickorywing/poolagent.py
+++ b/hickorywing/poolagent.py
@@ -26,6 +26,7 @@
 from hickorywing.platform.runner import PlatformWorker
 from hickorywing.platform.store import PlatformStore
 from hickorywing.program import cancel_tasks
+from hickorywing.program import describe_reload
 from hickorywing.program import guard_task
 from hickorywing.program import parse_settings_path
 from hickorywing.program import run_program
@@ -116,8 +117,9 @@
 class PoolAgent:
     """All parts of one agent, wired together."""
 
-    def __init__(self, settings: PoolAgentSettings) -> None:
+    def __init__(self, settings: PoolAgentSettings, path: Path) -> None:
         self._settings = settings
+        self._path = path
         self._metrics = Metrics(settings.name)
         self._log = DecisionLog(settings.name, "agent", self._metrics)
 
@@ -152,12 +154,17 @@
             ),
         ]
         self._log.write("started")
-        await wait_for_stop()
+        await wait_for_stop(self._reload)
         self._log.write("stopping")
         await cancel_tasks(tasks)
         await http.close()
         self._log.write("stopped")
 
+    def _reload(self) -> None:
+        """Say at a SIGHUP what has changed in the settings."""
+        found = describe_reload(self._path, PoolAgentSettings, self._settings)
+        self._log.write("reload", **found)
+
     def _report(self, trace: str) -> None:
         self._log.write("part died", trace=trace)
 
@@ -165,7 +172,7 @@
 def run_agent(settings: Path) -> None:
     """Run an agent with a settings file."""
     checked = read_settings(settings, PoolAgentSettings)
-    run_program(PoolAgent(checked).run, "hickorywing-pool-agent")
+    run_program(PoolAgent(checked, settings).run, "hickorywing-pool-agent")
 
 
 def main() -> None:
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -24,6 +24,7 @@
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.poolcontroller import PoolController
 from hickorywing.program import cancel_tasks
+from hickorywing.program import describe_reload
 from hickorywing.program import guard_task
 from hickorywing.program import parse_settings_path
 from hickorywing.program import run_program
@@ -50,8 +51,9 @@
 class PoolEntry:
     """All parts of one entry, wired together."""
 
-    def __init__(self, settings: PoolEntrySettings) -> None:
+    def __init__(self, settings: PoolEntrySettings, path: Path) -> None:
         self._settings = settings
+        self._path = path
         self._metrics = Metrics(settings.name)
         self._log = DecisionLog(settings.name, "entry", self._metrics)
         self._view = ConfigurationView()
@@ -91,11 +93,16 @@
         for server in [front, *others]:
             await server.start()
         self._log.write("started")
-        await wait_for_stop()
+        await wait_for_stop(self._reload)
         await self._stop(front, tasks)
         await http.close()
         self._log.write("stopped")
 
+    def _reload(self) -> None:
+        """Say at a SIGHUP what has changed in the settings."""
+        found = describe_reload(self._path, PoolEntrySettings, self._settings)
+        self._log.write("reload", **found)
+
     def _report(self, trace: str) -> None:
         self._log.write("part died", trace=trace)
 
@@ -163,7 +170,7 @@
 def run_entry(settings: Path) -> None:
     """Run an entry with a settings file."""
     checked = read_settings(settings, PoolEntrySettings)
-    run_program(PoolEntry(checked).run, "hickorywing-pool-entry")
+    run_program(PoolEntry(checked, settings).run, "hickorywing-pool-entry")
 
 
 def main() -> None:
--- a/hickorywing/program.py
+++ b/hickorywing/program.py
@@ -12,12 +12,17 @@
 import sys
 import traceback
 
+from returns.result import Failure
+
+from hickorywing.documents import load_document
+from hickorywing.documents import Model
 from hickorywing.errors import UserError
 from hickorywing.logs import configure_logs
 
 __all__ = [
     "EXIT_USER_ERROR",
     "cancel_tasks",
+    "describe_reload",
     "guard_task",
     "parse_settings_path",
     "run_program",
@@ -28,10 +33,15 @@
 EXIT_PART_DIED = 3
 
 
-async def wait_for_stop() -> None:
-    """Return when the process is asked to stop by SIGTERM or SIGINT."""
+async def wait_for_stop(reload: Callable[[], None] | None = None) -> None:
+    """Return when the process is asked to stop by SIGTERM or SIGINT.
+
+    ``reload`` is called at each SIGHUP, which otherwise ends the process.
+    """
     asked = asyncio.Event()
     loop = asyncio.get_running_loop()
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked.set)
     await asked.wait()
@@ -77,6 +87,26 @@
     return command.parse_command(sys.argv[0]).settings
 
 
+def describe_reload(
+    path: Path, model: type[Model], present: Model
+) -> dict[str, object]:
+    """Return what a reload finds in a settings file, for the log.
+
+    Settings are read at the start only. A daemon whose settings have changed
+    says so; they take effect at its next start.
+    """
+    loaded = load_document(path, model)
+    if isinstance(loaded, Failure):
+        return {"findings": [str(item) for item in loaded.failure()]}
+    fresh = loaded.unwrap()
+    changed = [
+        name
+        for name in type(present).model_fields
+        if getattr(fresh, name) != getattr(present, name)
+    ]
+    return {"changed": changed}
+
+
 def run_program(start: Callable[[], Awaitable[None]], name: str) -> None:
     """Run a daemon; user errors end it with their text and exit code 2."""
     configure_logs()
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -162,6 +162,9 @@
         self._processes[name].kill()
         self._processes[name].wait()
 
+    def signal(self, name: str, number: int) -> None:
+        self._processes[name].send_signal(number)
+
     async def stop(self, name: str) -> int:
         process = self._processes[name]
         process.send_signal(signal.SIGTERM)
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 
 from platformsystem import make_configuration
 from platformsystem import PlatformSystem
@@ -171,3 +172,20 @@
                 return await system.status(JOB + "e") == "503"
 
             await system.wait(refused, 5.0)
+
+
+class TestReload:
+    """A SIGHUP is answered by a line, not by an end."""
+
+    async def test_entry_and_agent_go_on(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            for name in ("e0", "w0"):
+                system.signal(name, signal.SIGHUP)
+
+            def reloaded() -> bool:
+                lines = system.log_lines()
+                return sum(line["event"] == "reload" for line in lines) == 2
+
+            await system.wait(reloaded)
+            await system.submit(JOB + "0")
+            await system.wait_status(JOB + "0", "completed")
