--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -19,6 +19,9 @@
 from hickorywing.policy.poolpreemption import release
 from hickorywing.policy.poolpreemption import RunningUnit
 from hickorywing.policy.poolpreemption import Sacrifice
+from hickorywing.policy.poolreservation import index_releases
+from hickorywing.policy.poolreservation import Reservation
+from hickorywing.policy.poolreservation import reserve_workers
 from hickorywing.policy.poolroom import count_room
 from hickorywing.policy.poolruns import Unit
 
@@ -31,17 +34,24 @@
 # An urgent unit waits this long for running work that is about to end, before
 # it stops any. A stop takes up to 0.4 s itself.
 END_WAIT_S = 0.5
+# Room is kept for a unit that has waited this long and is so large that small
+# ones would go on taking what becomes free. More than a few reservations at a
+# time would leave too many workers idle.
+RESERVE_AFTER_S = 1.0
+RESERVE_ACCELERATORS = 4
+RESERVED_UNITS = 2
 
 
 @dataclass(frozen=True, slots=True)
 class WaitingUnit:
-    """A unit whose turn has come."""
+    """A unit whose turn has come; ``avoid`` are workers not to be used."""
 
     unit: Unit
     step: Step
     priority: int
     order: tuple[float, ...]
     customer: str = ""
+    avoid: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +100,8 @@
         }
         self._stopped: set[tuple] = set()
         self._plan = Plan()
+        self._reserved = 0
+        self._releases = index_releases(state.running)
         self._victims = index_victims(state.running)
         self._spread = count_spread(state.running)
 
@@ -114,7 +126,9 @@
         workers = self._place(waiting, self._soon)
         if workers is None and waiting.priority == 0:
             workers = self._await_ends(waiting) or self._preempt(waiting)
-        if workers is not None and waiting.priority == 0:
+        if waiting.priority > 0:
+            workers = self._reserve(waiting)
+        if workers is not None:
             # Keeps the room for this unit until it is free.
             self._take(self._free, waiting.step, workers)
             self._take(self._soon, waiting.step, workers)
@@ -131,22 +145,72 @@
     def _place(
         self, waiting: WaitingUnit, rooms: dict[str, Resources]
     ) -> tuple[str, ...] | None:
-        present = self._spread.get(waiting.unit.step_key, Counter())
         state = self._state
-        avoided = state.suspects | waiting.unit.failed_on
-        for shunned in (avoided, frozenset()) if avoided else (avoided,):
+        shunned = self._shunned(waiting)
+        choices = [shunned | state.suspects, shunned]
+        if waiting.unit.failures and state.workers.keys() - choices[0]:
+            # A unit with few attempts left waits for a good worker.
+            del choices[1]
+        for skipped in choices:
             left = {
                 worker: room
                 for worker, room in rooms.items()
-                if worker not in shunned
+                if worker not in skipped
             }
             workers = place_unit(
-                waiting, left, state.workers, present, state.now_s
+                waiting,
+                left,
+                state.workers,
+                self._present(waiting),
+                state.now_s,
             )
             if workers is not None:
                 return workers
         return None
 
+    def _reserve(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
+        """Return the workers to keep for a large unit that has waited."""
+        step, count = waiting.step, waiting.unit.count
+        waited_s = self._state.now_s - waiting.unit.waiting_since_s
+        size = count * step.resources.accelerators
+        if (
+            waited_s < RESERVE_AFTER_S
+            or size < RESERVE_ACCELERATORS
+            or self._reserved >= RESERVED_UNITS
+        ):
+            return None
+        best: Reservation | None = None
+        for group in self._groups_for(waiting):
+            found = reserve_workers(
+                step,
+                count,
+                group,
+                self._soon,
+                self._present(waiting),
+                self._releases,
+            )
+            if found is not None and (
+                best is None or found.after_s < best.after_s
+            ):
+                best = found
+        if best is None:
+            return None
+        self._reserved += 1
+        return best.workers
+
+    def _present(self, waiting: WaitingUnit) -> Counter:
+        """Count the tasks of the unit's step on each worker."""
+        return self._spread.get(waiting.unit.step_key, Counter())
+
+    def _shunned(self, waiting: WaitingUnit) -> frozenset[str]:
+        """Return the workers that a unit must not be given to.
+
+        If its job has failed on all of them, none is left out.
+        """
+        if waiting.avoid >= self._state.workers.keys():
+            return frozenset()
+        return waiting.avoid
+
     def _await_ends(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
         """Return where the unit fits once work that is about to end has."""
         waited_s = self._state.now_s - waiting.unit.waiting_since_s
@@ -176,7 +240,7 @@
                 waiting.unit.count,
                 group,
                 self._soon,
-                self._spread.get(waiting.unit.step_key, Counter()),
+                self._present(waiting),
                 victims,
             )
             if found is not None and (best is None or found.cost < best.cost):
@@ -193,7 +257,14 @@
         Work away from its data or over several racks takes several times as
         long, so other workers come in only where no such group exists.
         """
-        allowed = find_allowed(waiting.step, self._soon, self._state.workers)
+        shunned = self._shunned(waiting)
+        allowed = [
+            worker
+            for worker in find_allowed(
+                waiting.step, self._soon, self._state.workers
+            )
+            if worker not in shunned
+        ]
         groups = group_workers(waiting.step, allowed, self._state.workers)
         size = waiting.unit.count
         groups = [group for group in groups if group]
--- /dev/null
+++ b/hickorywing/policy/poolreservation.py
@@ -0,0 +1,109 @@
+"""Reserve the room of workers for a large unit that has waited.
+
+Answers a steady stream of small tasks: each takes what becomes free, so a
+gang that needs several whole workers at a time would never start. The unit
+that is first in order gets the room that frees up soonest; later units may
+not use it meanwhile.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from hickorywing.policy.poolmodel import Resources
+from hickorywing.policy.poolmodel import Step
+from hickorywing.policy.poolpreemption import held_on
+from hickorywing.policy.poolpreemption import RunningUnit
+from hickorywing.policy.poolroom import count_room
+
+__all__ = ["Release", "Reservation", "index_releases", "reserve_workers"]
+
+# Counts for work of which nothing is known yet; of the order of a long task.
+UNKNOWN_LEFT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Room that a worker is expected to free after a time."""
+
+    after_s: float
+    room: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Where a unit is expected to fit after a time."""
+
+    after_s: float
+    workers: tuple[str, ...]
+
+
+def index_releases(
+    running: Iterable[RunningUnit],
+) -> dict[str, list[Release]]:
+    """Return what each worker will free, the soonest first."""
+    releases: dict[str, list[Release]] = {}
+    for item in running:
+        if item.unit.stopping:
+            continue
+        after_s = min(max(item.left_s, 0.0), UNKNOWN_LEFT_S)
+        for worker in {member.worker for member in item.unit.open_members()}:
+            release = Release(after_s, held_on(item, worker))
+            releases.setdefault(worker, []).append(release)
+    for items in releases.values():
+        items.sort(key=lambda release: release.after_s)
+    return releases
+
+
+def reserve_workers(
+    step: Step,
+    count: int,
+    group: Iterable[str],
+    rooms: dict[str, Resources],
+    present: Counter,
+    releases: dict[str, list[Release]],
+) -> Reservation | None:
+    """Return the workers on which all tasks would fit soonest, if any.
+
+    ``rooms`` is what is free now or is being freed by stops.
+    """
+    need = count_room(step)
+    left = dict(rooms)
+    used = Counter(present)
+    chosen: list[str] = []
+    workers = list(group)
+    latest_s = 0.0
+    for _ in range(count):
+        best = None
+        for worker in workers:
+            if step.spread_limit and used[worker] >= step.spread_limit:
+                continue
+            after_s = wait_for_room(
+                need, left[worker], releases.get(worker, ())
+            )
+            if after_s is None:
+                continue
+            rank = (after_s, left[worker].accelerators, worker)
+            if best is None or rank < best:
+                best = rank
+        if best is None:
+            return None
+        worker = best[-1]
+        latest_s = max(latest_s, best[0])
+        left[worker] = left[worker] - need
+        used[worker] += 1
+        chosen.append(worker)
+    return Reservation(latest_s, tuple(chosen))
+
+
+def wait_for_room(
+    need: Resources, room: Resources, releases: Iterable[Release]
+) -> float | None:
+    """Return after how long a task fits, ``None`` if it never does."""
+    if need.fits_in(room):
+        return 0.0
+    for release in releases:
+        room = room + release.room
+        if need.fits_in(room):
+            return release.after_s
+    return None
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -50,6 +50,11 @@
     CANCELLED = "cancelled"
 
 
+# A job's tasks keep off a worker on which one of them failed for this long.
+# Workers that fail all they start do so for several seconds, and would use up
+# the attempts of a whole job within one.
+AVOID_S = 8.0
+
 FINAL = frozenset({JobStatus.COMPLETED, JobStatus.FAILED, JobStatus.CANCELLED})
 
 
@@ -108,8 +113,7 @@
 
     ``committed`` tells whether the place of the present run is stored; no
     start may be ordered before. ``stopping`` names why the run is being
-    closed although it has not ended by itself. ``failed_on`` are the workers
-    on which a member failed.
+    closed although it has not ended by itself.
     """
 
     job_id: str
@@ -126,7 +130,6 @@
     stopping: str = ""
     waiting_since_s: float = 0.0
     placed_at_s: float = 0.0
-    failed_on: set[str] = field(default_factory=set)
 
     @property
     def key(self) -> tuple[str, int, int, int]:
@@ -186,7 +189,6 @@
                 other.ending = Ending.DONE
         elif ending is Ending.FAILED and not self.done:
             self.failures += 1
-            self.failed_on.add(member.worker)
         if self.count > 1 and not self.done and self.running:
             self.stopping = self.stopping or f"member {ending}"
 
@@ -202,8 +204,7 @@
         self.cancelled = False
         self.finished: set[int] = set()
         self.units: dict[tuple[int, int, int], Unit] = {}
-        self.row_version = 0
-        self.revision = 0
+        self._failed_on: dict[str, float] = {}
         if job.occurrences == 0:
             self.open_occurrence(0, seen_s)
 
@@ -212,6 +213,18 @@
         """Tell whether the status can't change any more."""
         return self.status in FINAL
 
+    def note_failed(self, worker: str, now_s: float) -> None:
+        """Take in that one of the job's tasks failed on a worker."""
+        self._failed_on[worker] = now_s
+
+    def list_failed_on(self, now_s: float) -> frozenset[str]:
+        """Return the workers on which the job has failed of late."""
+        return frozenset(
+            worker
+            for worker, at_s in self._failed_on.items()
+            if now_s - at_s < AVOID_S
+        )
+
     def open_occurrence(self, occurrence: int, now_s: float) -> None:
         """Make the units of one occurrence."""
         for number, step in enumerate(self.job.steps):
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -332,7 +332,7 @@
     ) -> None:
         """Note that a member has ended, and store it."""
         unit.end(member, ending, saved)
-        self._note_health(unit, member, ending)
+        self._note_health(state, member, ending)
         self._log.write(
             "run ended",
             task=format_task(unit.task(member)),
@@ -346,14 +346,17 @@
             unit.waiting_since_s = now_s()
         self._settle(state)
 
-    def _note_health(self, unit: Unit, member: Member, ending: Ending) -> None:
+    def _note_health(
+        self, state: JobState, member: Member, ending: Ending
+    ) -> None:
         """Learn from an ending how good its worker is."""
         worker = member.worker
         if ending is Ending.DONE:
             self._health.note_done(worker)
         elif ending is Ending.FAILED:
             was_bad = self._health.is_bad(worker, now_s())
-            self._health.note_failed(worker, unit.job_id, now_s())
+            state.note_failed(worker, now_s())
+            self._health.note_failed(worker, state.job.job_id, now_s())
             if self._health.is_bad(worker, now_s()) and not was_bad:
                 self._log.write("worker set aside", worker=worker)
 
@@ -458,6 +461,7 @@
                     terms.priority,
                     (float(state.accepted), unit.occurrence, unit.first),
                     state.job.customer,
+                    state.list_failed_on(now_s()),
                 )
 
     def _running_units(self) -> Iterator[RunningUnit]:
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -76,6 +76,7 @@
                 state.job.terms.priority,
                 (float(state.accepted),),
                 state.job.customer,
+                state.list_failed_on(self.now_s),
             )
             for state in self.jobs.values()
             for unit in state.ready_units()
--- a/tests/test_poolhealth.py
+++ b/tests/test_poolhealth.py
@@ -6,6 +6,7 @@
 
 from hickorywing.policy.poolhealth import FORGET_S
 from hickorywing.policy.poolhealth import WorkerHealth
+from hickorywing.policy.poolruns import AVOID_S
 from hickorywing.policy.poolruns import Ending
 
 
@@ -37,21 +38,37 @@
 class TestPlacement:
     """A retry goes to another worker, new work to those above suspicion."""
 
-    def test_retry_avoids_the_worker_that_failed(self):
+    def fail(self, state, unit, now_s: float) -> None:
+        member = unit.members[0]
+        unit.end(member, Ending.FAILED)
+        state.note_failed(member.worker, now_s)
+
+    def test_job_keeps_off_the_worker_that_failed(self):
         pool = Pool(workers=2)
-        state = pool.add(make_job(attempts=3))
+        state = pool.add(make_job(steps=(gpu_step(1, count=8),), attempts=2))
+        first = pool.run().starts
+        assert {start.workers for start in first} == {("w0",)}
+        for start in first:
+            self.fail(state, start.unit, pool.now_s)
+        again = pool.run().starts
+        assert {start.workers for start in again} == {("w1",)}
+
+    def test_retry_waits_for_another_worker(self):
+        pool = Pool(workers=2)
+        pool.add(make_job("full", steps=(gpu_step(8),)))
+        pool.run()
+        state = pool.add(make_job(steps=(gpu_step(1),), attempts=2))
         (start,) = pool.run().starts
-        unit = start.unit
-        unit.end(unit.members[0], Ending.FAILED)
-        (again,) = pool.run().starts
-        assert again.workers != start.workers
-        assert state.units[(0, 0, 0)].failures == 1
+        self.fail(state, start.unit, pool.now_s)
+        assert pool.run().starts == []
+        pool.now_s += AVOID_S
+        assert len(pool.run().starts) == 1
 
     def test_retry_uses_the_only_worker(self):
         pool = Pool(workers=1)
-        pool.add(make_job(attempts=3))
+        state = pool.add(make_job(attempts=3))
         (start,) = pool.run().starts
-        start.unit.end(start.unit.members[0], Ending.FAILED)
+        self.fail(state, start.unit, pool.now_s)
         assert len(pool.run().starts) == 1
 
     def test_suspects_come_last(self):
--- a/tests/test_poolplanner.py
+++ b/tests/test_poolplanner.py
@@ -6,6 +6,8 @@
 from poolhelpers import make_job
 from poolhelpers import Pool
 
+from hickorywing.policy.poolruns import Ending
+
 
 class TestSpread:
     """At most so many tasks of a step on one worker."""
@@ -172,3 +174,42 @@
         assert pool.run().stops == []
         pool.now_s += 2
         assert len(pool.run().stops) == 1
+
+
+class TestReservation:
+    """A large gang starts although small tasks keep coming."""
+
+    def test_gang_starts_under_a_stream_of_small_tasks(self):
+        pool = Pool(workers=3)
+        running: list = []
+        started_s = None
+        gang = None
+        for second in range(40):
+            pool.now_s += 1
+            for number in range(4):
+                pool.add(make_job(f"s{second}-{number}", steps=(gpu_step(2),)))
+            if second == 8:
+                gang = pool.add(
+                    make_job("gang", steps=(gpu_step(8, count=2, gang=True),))
+                )
+                gang_s = pool.now_s
+            for unit in [item for item in running if item[1] <= pool.now_s]:
+                running.remove(unit)
+                unit[0].end(unit[0].members[0], Ending.DONE)
+            for start in pool.run().starts:
+                running.append((start.unit, pool.now_s + 4))
+                if start.unit.job_id == "gang":
+                    started_s = pool.now_s
+            if started_s is not None:
+                break
+        assert gang is not None
+        assert started_s is not None
+        assert started_s - gang_s <= 8
+
+    def test_small_units_reserve_nothing(self):
+        pool = Pool(workers=1)
+        pool.add(make_job("old", steps=(gpu_step(8),)))
+        pool.run()
+        pool.add(make_job("small", steps=(gpu_step(2),)))
+        pool.now_s += 10
+        assert pool.run().starts == []
