--- a/hickorywing/policy/poolhealth.py
+++ b/hickorywing/policy/poolhealth.py
@@ -16,6 +16,8 @@
 BAD_JOBS = 2
 # A failure that is older says nothing any more, so the worker is tried again.
 FORGET_S = 12.0
+# Of the order of a long task, so that a good worker in use stays proven.
+PROVEN_S = 20.0
 
 
 @dataclass(slots=True)
@@ -35,10 +37,12 @@
 
     def __init__(self) -> None:
         self._failures: dict[str, Failures] = {}
+        self._done_s: dict[str, float] = {}
 
-    def note_done(self, worker: str) -> None:
+    def note_done(self, worker: str, now_s: float) -> None:
         """Take in that a worker completed a task."""
         self._failures.pop(worker, None)
+        self._done_s[worker] = now_s
 
     def note_failed(self, worker: str, job_id: str, now_s: float) -> None:
         """Take in that a task failed on a worker."""
@@ -48,6 +52,12 @@
     def forget(self, worker: str) -> None:
         """Drop what is known of a worker that is gone."""
         self._failures.pop(worker, None)
+        self._done_s.pop(worker, None)
+
+    def is_proven(self, worker: str, now_s: float) -> bool:
+        """Tell whether a worker has completed something of late."""
+        done_s = self._done_s.get(worker)
+        return done_s is not None and now_s - done_s < PROVEN_S
 
     def is_suspect(self, worker: str, now_s: float) -> bool:
         """Tell whether others should be preferred to a worker."""
--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -76,7 +76,7 @@
 
     ``free`` is the room of each usable worker now, ``coming`` what members
     that are being stopped will free there. ``suspects`` have failed of late
-    and come after all others.
+    and come after all others; ``proven`` have completed something of late.
     """
 
     workers: dict[str, WorkerFacts]
@@ -86,6 +86,7 @@
     running: list[RunningUnit]
     now_s: float
     suspects: frozenset[str] = frozenset()
+    proven: frozenset[str] = frozenset()
 
 
 class Planner:
@@ -150,7 +151,8 @@
         choices = [shunned | state.suspects, shunned]
         if waiting.unit.failures and state.workers.keys() - choices[0]:
             # A unit with few attempts left waits for a good worker.
-            del choices[1]
+            unproven = state.workers.keys() - state.proven
+            choices = [choices[0] | unproven, choices[0]]
         for skipped in choices:
             left = {
                 worker: room
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -352,7 +352,7 @@
         """Learn from an ending how good its worker is."""
         worker = member.worker
         if ending is Ending.DONE:
-            self._health.note_done(worker)
+            self._health.note_done(worker, now_s())
         elif ending is Ending.FAILED:
             was_bad = self._health.is_bad(worker, now_s())
             state.note_failed(worker, now_s())
@@ -439,11 +439,8 @@
                 waiting,
                 list(self._running_units()),
                 now_s(),
-                frozenset(
-                    worker
-                    for worker in room.workers
-                    if self._health.is_suspect(worker, now_s())
-                ),
+                self._select(room, self._health.is_suspect),
+                self._select(room, self._health.is_proven),
             )
         ).make_plan()
         for assignment in plan.starts:
@@ -451,6 +448,13 @@
         for victim, unit in plan.stops:
             self._preempt(victim, unit)
 
+    def _select(
+        self, room: PoolRoom, has: Callable[[str, float], bool]
+    ) -> frozenset[str]:
+        """Return the usable workers that have a quality now."""
+        now = now_s()
+        return frozenset(name for name in room.workers if has(name, now))
+
     def _waiting_units(self) -> Iterator[WaitingUnit]:
         for state in self._live.values():
             terms = state.job.terms
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -54,6 +54,7 @@
         }
         self.jobs: dict[str, JobState] = {}
         self.suspects: set[str] = set()
+        self.proven: set[str] = set()
         self.now_s = 100.0
 
     def add(self, job: PoolJob) -> JobState:
@@ -106,6 +107,7 @@
                 running,
                 self.now_s,
                 frozenset(self.suspects),
+                frozenset(self.proven),
             )
         ).make_plan()
 
--- a/tests/test_poolhealth.py
+++ b/tests/test_poolhealth.py
@@ -25,7 +25,7 @@
         health.note_failed("w0", "j1", 10.0)
         health.note_failed("w0", "j2", 11.0)
         assert health.is_bad("w0", 11.0)
-        health.note_done("w0")
+        health.note_done("w0", 11.0)
         assert not health.is_suspect("w0", 11.0)
 
     def test_is_tried_again_later(self):
@@ -71,6 +71,15 @@
         self.fail(state, start.unit, pool.now_s)
         assert len(pool.run().starts) == 1
 
+    def test_retry_prefers_a_worker_that_completes_work(self):
+        pool = Pool(workers=4)
+        pool.proven.add("w3")
+        state = pool.add(make_job(attempts=2))
+        (start,) = pool.run().starts
+        self.fail(state, start.unit, pool.now_s)
+        (again,) = pool.run().starts
+        assert again.workers == ("w3",)
+
     def test_suspects_come_last(self):
         pool = Pool(workers=2)
         pool.suspects.add("w0")
