Stop agents and entries without cutting a watch

Ruled out: the time limit of the stop (it ended after 0.1 s). The watch is answered, then the listeners finish, in both daemons.

--- a/hickorywing/poolagent.py
+++ b/hickorywing/poolagent.py
@@ -156,6 +156,8 @@
         self._log.write("started")
         await wait_for_stop(self._reload)
         self._log.write("stopping")
+        watch.close()
+        await asyncio.gather(*(server.stop() for server in servers))
         await cancel_tasks(tasks)
         await http.close()
         self._log.write("stopped")
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -95,6 +95,7 @@
         self._log.write("started")
         await wait_for_stop(self._reload)
         await self._stop(front, tasks)
+        await asyncio.gather(*(server.stop() for server in others))
         await http.close()
         self._log.write("stopped")
 
--- a/hickorywing/workerwatch.py
+++ b/hickorywing/workerwatch.py
@@ -62,6 +62,7 @@
         self._busy = False
         self._silent = False
         self._number = 1
+        self._closing = False
         self._news = asyncio.Event()
         self._wake = asyncio.Event()
 
@@ -72,6 +73,11 @@
             return ""
         return f"{self._node}/{self.announcement.worker}"
 
+    def close(self) -> None:
+        """Answer the waiting watch, and let none wait from now on."""
+        self._closing = True
+        self._news.set()
+
     # Announcements
 
     def announce(self, announcement: Announcement) -> bool:
@@ -204,7 +210,7 @@
             if order.busy != self._busy:
                 self._busy = order.busy
                 self._wake.set()
-        if order.seen == self._number and order.wait_s:
+        if order.seen == self._number and order.wait_s and not self._closing:
             self._news.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._news.wait(), order.wait_s)
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -174,6 +174,22 @@
             await system.wait(refused, 5.0)
 
 
+class TestStop:
+    """A planned stop is quick and leaves no error behind."""
+
+    async def test_agent_and_entry(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            await system.submit(JOB + "0", run_s=30)
+            await system.wait(lambda: system.starts())
+            loop = asyncio.get_running_loop()
+            for name in ("w0", "e0"):
+                began = loop.time()
+                assert await system.stop(name) == 0
+                assert loop.time() - began < 3.0
+            for path in tmp_path.glob("*.log"):
+                assert "Traceback" not in path.read_text()
+
+
 class TestReload:
     """A SIGHUP is answered by a line, not by an end."""
 
