Start a run again elsewhere when it stands still

Ruled out: a slow worker (the share of work done did not change at all). A run is given up once it has stood still longer than what it would lose and much longer than its own pace explains.

--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -39,6 +39,7 @@
 from hickorywing.policy.poolruns import Member
 from hickorywing.policy.poolruns import parse_task
 from hickorywing.policy.poolruns import Unit
+from hickorywing.policy.poolstalls import is_stalled
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.poollease import PoolLease
 from hickorywing.runorders import OpenMember
@@ -96,6 +97,7 @@
         self._cancels: set[str] = set()
         self._live: dict[str, JobState] = {}
         self._ends: dict[str, dict[int, bool]] = {}
+        self._looked_ms: dict[str, int] = {}
         self._orders = RunOrders(
             lease, self._workers, self._end_member, self.wake, log, metrics
         )
@@ -210,7 +212,9 @@
             self._meet_worker(link, report)
         for end in report.ended:
             self._take_end(link, report, end)
-        if report.looked_ms:
+        if report.looked_ms > self._looked_ms.get(report.worker, 0):
+            # An agent repeats its last look while the worker is silent.
+            self._looked_ms[report.worker] = report.looked_ms
             self._take_running(link, report)
         link.set_busy(self._is_busy(link))
         self.wake()
@@ -228,6 +232,7 @@
         self._log.write("worker left", worker=worker)
         del self._workers[worker]
         self._ends.pop(worker, None)
+        self._looked_ms.pop(worker, None)
         for item in list(self._open_members()):
             if item.member.worker == worker:
                 self._end_member(
@@ -241,6 +246,7 @@
         for worker in gone:
             del self._workers[worker]
             self._ends.pop(worker, None)
+            self._looked_ms.pop(worker, None)
             self._health.forget(worker)
         self._workers[report.worker] = link
         self._ends[report.worker] = {}
@@ -389,6 +395,27 @@
             item.unit.saved = run.saved
             self._unstored_saves.add(item.state.job.job_id)
         self._orders.check_stop(member, report.looked_ms)
+        self._check_stall(item)
+
+    def _check_stall(self, item: OpenMember) -> None:
+        """Stop a run that stands still, so that it is placed elsewhere."""
+        unit, now = item.unit, now_s()
+        lost_s = estimate_lost_s(unit, item.step, now, self._progress)
+        if unit.stopping or not is_stalled(
+            unit, item.member, item.step, now, lost_s
+        ):
+            return
+        unit.stopping = "stands still"
+        item.state.note_failed(item.member.worker, now)
+        self._log.write(
+            "run stalled",
+            task=item.task,
+            run=unit.run,
+            worker=item.member.worker,
+            percent=item.member.percent,
+            since_s=round(now - item.member.percent_at_s, 1),
+        )
+        self._metrics.count("runs_stalled")
 
     def _take_absent(self, item: OpenMember, report: WorkerReport) -> None:
         """End a member that was stopped before it was there."""
--- /dev/null
+++ b/tests/test_poolstalls.py
@@ -0,0 +1,52 @@
+"""Runs that stand still."""
+
+from poolhelpers import gpu_step
+
+from hickorywing.policy.poolruns import Unit
+from hickorywing.policy.poolstalls import is_stalled
+
+
+def make_unit(placed_s: float, percent: int, at_s: float) -> Unit:
+    unit = Unit("j1", 0, 0, 0, 1)
+    unit.place(["w0"], placed_s)
+    member = unit.members[0]
+    member.seen = True
+    member.note_percent(percent, at_s)
+    return unit
+
+
+def check(unit: Unit, now_s: float, lost_s: float = 100.0, **step) -> bool:
+    return is_stalled(
+        unit, unit.members[0], gpu_step(1, **step), now_s, lost_s
+    )
+
+
+class TestStall:
+    """A run is given up when that costs less than waiting."""
+
+    def test_steady_progress(self):
+        assert not check(make_unit(0, 50, 10), 12)
+
+    def test_unsaved_work_is_waited_for_as_long_as_it_took(self):
+        unit = make_unit(0, 50, 10)
+        assert not check(unit, 19)
+        assert check(unit, 21)
+
+    def test_saved_work_moves_soon(self):
+        unit = make_unit(0, 50, 10)
+        assert check(unit, 14.5, lost_s=0.25)
+
+    def test_slow_steps_of_long_work_are_no_standstill(self):
+        unit = make_unit(0, 2, 200)
+        assert not check(unit, 500, lost_s=0.25)
+        assert check(unit, 900, lost_s=0.25)
+
+    def test_no_step_yet(self):
+        unit = make_unit(0, 0, 0)
+        assert not check(unit, 8, estimate_s=20)
+        assert check(unit, 11, estimate_s=20)
+
+    def test_gang_waiting_to_be_seen(self):
+        unit = make_unit(0, 0, 0)
+        unit.members[0].seen = False
+        assert not check(unit, 100)
