Show a new epoch to a busy worker at once

Ruled out: the link (the agents had heard of the epoch after 0.04 s). A new epoch ends the waiting look.

--- a/hickorywing/workerwatch.py
+++ b/hickorywing/workerwatch.py
@@ -1,6 +1,7 @@
 """Know the worker beside an agent: who it is, and what it runs."""
 
 import asyncio
+from collections.abc import Coroutine
 import contextlib
 from dataclasses import dataclass
 
@@ -65,6 +66,7 @@
         self._closing = False
         self._news = asyncio.Event()
         self._wake = asyncio.Event()
+        self._interrupt = asyncio.Event()
 
     @property
     def key(self) -> str:
@@ -145,14 +147,23 @@
     async def _look_once(self, announcement: Announcement) -> None:
         wait_s = LOOK_WAIT_S if self._present and self._look else 0.0
         epoch = self.epoch
+        self._interrupt.clear()
         try:
-            look = await self._worker.look(
-                announcement.name, epoch, self._lease_ms, self._noted, wait_s
+            look = await self._await_look(
+                self._worker.look(
+                    announcement.name,
+                    epoch,
+                    self._lease_ms,
+                    self._noted,
+                    wait_s,
+                )
             )
         except WorkerSilent as error:
             self._note_silence(str(error))
             await asyncio.sleep(RETRY_S)
             return
+        if look is None:
+            return
         if look.born_ms != announcement.born_ms:
             await asyncio.sleep(RETRY_S)
             return
@@ -166,6 +177,25 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), NOTE_WAIT_S)
 
+    async def _await_look(
+        self, looking: Coroutine[None, None, Look]
+    ) -> Look | None:
+        """Return the look, or ``None`` once it is of no use any more.
+
+        A look may wait for an end of a run. A new epoch must be shown to the
+        worker at once, as nothing is placed there before.
+        """
+        look = asyncio.ensure_future(looking)
+        interrupt = asyncio.ensure_future(self._interrupt.wait())
+        try:
+            await asyncio.wait(
+                (look, interrupt), return_when=asyncio.FIRST_COMPLETED
+            )
+            return look.result() if look.done() else None
+        finally:
+            look.cancel()
+            interrupt.cancel()
+
     def _note_silence(self, reason: str) -> None:
         if not self._silent:
             self._silent = True
@@ -198,6 +228,7 @@
             self.epoch = epoch
             self._present = False
             self._wake.set()
+            self._interrupt.set()
         return epoch == self.epoch
 
     async def watch(self, order: WatchOrder) -> WorkerReport:
--- /dev/null
+++ b/tests/test_workerwatch.py
@@ -0,0 +1,182 @@
+"""An agent's knowledge of its worker."""
+
+import asyncio
+
+from hickorywing.decisions import DecisionLog
+from hickorywing.metrics import Metrics
+from hickorywing.orders import OrderAnswer
+from hickorywing.orders import OrderOutcome
+from hickorywing.orders import StartOrder
+from hickorywing.orders import WatchOrder
+from hickorywing.policy.poolmodel import Resources
+from hickorywing.worker import Announcement
+from hickorywing.worker import Look
+from hickorywing.worker import Worker
+from hickorywing.worker import WorkerSilent
+from hickorywing.workerwatch import WorkerWatch
+
+
+class FakeWorker(Worker):
+    """Answers looks, after the wait that they ask for."""
+
+    def __init__(self) -> None:
+        self.born_ms = 100
+        self.silent = False
+        self.epochs: list[int] = []
+        self.starts: list[StartOrder] = []
+
+    async def start(self, order: StartOrder, name: str) -> OrderAnswer:
+        self.starts.append(order)
+        return OrderAnswer(OrderOutcome.OK, 1000)
+
+    async def stop(self, order, name) -> OrderAnswer:
+        return OrderAnswer(OrderOutcome.OK, 1000)
+
+    async def look(self, name, epoch, lease_ms, noted, wait_s) -> Look:
+        if self.silent:
+            raise WorkerSilent("no answer")
+        self.epochs.append(epoch)
+        await asyncio.sleep(wait_s)
+        return Look(1000, self.born_ms, (), ())
+
+
+class NoOutput:
+    def write(self, line: bytes) -> None:
+        pass
+
+
+def announce(born_ms=100, sequence=1, draining=False) -> Announcement:
+    return Announcement(
+        worker=f"i-1@{born_ms}",
+        name="i-1",
+        born_ms=born_ms,
+        sequence=sequence,
+        pool="p",
+        zone="z",
+        capacity=Resources(1000, 1000, 8),
+        labels=("a", "r1"),
+        draining=draining,
+        remaining_ms=0,
+        clock_ms=1000,
+    )
+
+
+class Agent:
+    """A watch that runs over a fake worker."""
+
+    async def __aenter__(self) -> "Agent":
+        self.worker = FakeWorker()
+        log = DecisionLog("a1", "agent", Metrics("a1"), NoOutput())
+        self.watch = WorkerWatch("a1", self.worker, log)
+        self.task = asyncio.ensure_future(self.watch.run())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def ask(self, epoch=1, busy=False, wait_s=0.5):
+        order = WatchOrder(
+            pool="p",
+            epoch=epoch,
+            worker=self.watch.key,
+            seen=self.watch._number,
+            busy=busy,
+            wait_s=wait_s,
+        )
+        return await self.watch.watch(order)
+
+    async def start(self, epoch=1, expires_ms=5000) -> OrderOutcome:
+        answer = await self.watch.start(
+            StartOrder(
+                pool="p",
+                epoch=epoch,
+                worker="a1/i-1@100",
+                task="t.0.0.0",
+                run=1,
+                payload="",
+                expires_ms=expires_ms,
+            )
+        )
+        return answer.outcome
+
+
+class TestPresence:
+    """A worker is present once it has answered a look."""
+
+    async def test_announced_and_answering(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce())
+            report = await agent.ask()
+            assert report.worker == "a1/i-1@100"
+
+    async def test_silent_worker_is_not_present(self):
+        async with Agent() as agent:
+            agent.worker.silent = True
+            agent.watch.announce(announce())
+            assert (await agent.ask()).worker == ""
+
+    async def test_late_announcement_of_an_earlier_incarnation(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce(born_ms=100))
+            assert not agent.watch.announce(announce(born_ms=50, sequence=9))
+            assert agent.watch.key == "a1/i-1@100"
+
+    async def test_restart_under_the_same_name(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce(born_ms=100, sequence=7))
+            await agent.ask()
+            agent.worker.born_ms = 200
+            agent.watch.announce(announce(born_ms=200, sequence=1))
+            report = await agent.ask()
+            assert report.worker == "a1/i-1@200"
+            assert report.left == "a1/i-1@100"
+
+
+class TestEpochs:
+    """A new controller's epoch reaches a busy worker at once."""
+
+    async def test_interrupts_a_waiting_look(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce())
+            await agent.ask(epoch=1)
+            await agent.ask(epoch=1, busy=True, wait_s=0.1)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            report = await agent.ask(epoch=2)
+            assert report.worker == "a1/i-1@100"
+            assert loop.time() - began < 0.3
+            assert agent.worker.epochs[-1] == 2
+
+    async def test_refuses_an_older_epoch(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce())
+            await agent.ask(epoch=2)
+            assert await agent.start(epoch=1) is OrderOutcome.OLD_EPOCH
+            assert not agent.worker.starts
+
+
+class TestStarts:
+    """The agent refuses what the worker must not get any more."""
+
+    async def test_passes_a_start_on(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce())
+            assert await agent.start() is OrderOutcome.OK
+
+    async def test_refuses_while_draining(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce())
+            agent.watch.announce(announce(sequence=2, draining=True))
+            assert await agent.start() is OrderOutcome.REFUSED
+            assert not agent.worker.starts
+
+    async def test_refuses_an_order_that_was_held_up(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce())
+            assert await agent.start(expires_ms=900) is OrderOutcome.LATE
+
+    async def test_refuses_an_order_for_another_incarnation(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce(born_ms=300))
+            assert await agent.start() is OrderOutcome.OTHER_WORKER
