Hand the role over when the store turns the holder away

Ruled out: a shorter lease (a slow store needs 0.6 s for one renewal). A holder whose renewal gets no answer offers its role to the other entries; the first that reads the lease from the store takes it. While the store answers nobody, nobody accepts. Tests: hand-over within 0.7 of a lease, none in an outage for all.

--- a/hickorywing/jobrows.py
+++ b/hickorywing/jobrows.py
@@ -1,7 +1,7 @@
 """The rows that a pool keeps in the store.
 
 All rows of a pool share one partition, so that a controller's transaction can
-demand that its epoch is still the newest.
+demand that its epoch is still the newest. ``entries`` is without partitions.
 
 ==========  ==================  ============================  ==============
 table       key                 value                         written by
@@ -13,6 +13,7 @@
 leases      ``holder``          who controls the pool         candidates
 leases      ``epoch``           number of the present term    candidates
 agents      the agent's name    its address                   the agent
+entries     the entry's name    its address                   the entry
 ==========  ==================  ============================  ==============
 """
 
@@ -31,6 +32,7 @@
 
 __all__ = [
     "AGENTS",
+    "ENTRIES",
     "LEASES",
     "PROGRESS",
     "QUEUE_PREFIX",
@@ -42,6 +44,7 @@
     "decode_status",
     "encode_job",
     "encode_progress",
+    "entry_key",
     "epoch_key",
     "job_key",
     "lease_key",
@@ -55,6 +58,7 @@
 PROGRESS = "progress"
 LEASES = "leases"
 AGENTS = "agents"
+ENTRIES = "entries"
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
 QUEUE_PREFIX = "~"
@@ -132,6 +136,11 @@
     return RowKey(LEASES, pool, "epoch")
 
 
+def entry_key(name: str) -> RowKey:
+    """Return the key of the row that tells where an entry is."""
+    return RowKey(ENTRIES, "", name)
+
+
 def split_request_key(key: str) -> tuple[str, bool]:
     """Return the job of a row in ``requests``, and whether it is accepted.
 
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -18,6 +18,9 @@
 from hickorywing.clock import now_s
 from hickorywing.committer import Committer
 from hickorywing.decisions import DecisionLog
+from hickorywing.handover import offer_role
+from hickorywing.handover import PeerBook
+from hickorywing.handover import RoleOffer
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobrows import AgentRow
 from hickorywing.jobrows import AGENTS
@@ -66,9 +69,13 @@
         terms: ControllerTerms,
         log: DecisionLog,
         metrics: Metrics,
+        peers: PeerBook,
     ) -> None:
         self.pool = pool
-        self.lease = PoolLease(pool, name, store, log, metrics)
+        self.lease = PoolLease(
+            pool, name, store, log, metrics, self._offer_role
+        )
+        self._peers = peers
         self._store = store
         self._http = http
         self._view = view
@@ -80,8 +87,20 @@
         """Compete for the pool and control it until cancelled."""
         await self.lease.run(self._serve)
 
+    async def _offer_role(self, epoch: int) -> str:
+        """Offer the role to the other entries; return who accepted."""
+        offer = RoleOffer(self.pool, epoch)
+        return await offer_role(offer, self._peers, self._http)
+
     async def _serve(self) -> None:
         """Control the pool for one term."""
+        refreshing = asyncio.ensure_future(self._peers.refresh())
+        try:
+            await self._run_term()
+        finally:
+            refreshing.cancel()
+
+    async def _run_term(self) -> None:
         term = Term(
             self.lease,
             self._store,
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
 
 from blacksheep import Application
@@ -13,6 +14,8 @@
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
+from hickorywing.handover import HandOverApi
+from hickorywing.handover import PeerBook
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobdesk import JobDesk
 from hickorywing.metrics import Metrics
@@ -23,6 +26,7 @@
 from hickorywing.policy.poolprogress import ProgressTerms
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.poolcontroller import PoolController
+from hickorywing.poollease import read_holder_epoch
 from hickorywing.program import cancel_tasks
 from hickorywing.program import describe_reload
 from hickorywing.program import guard_task
@@ -80,7 +84,9 @@
         source = PlatformConfigurationSource(
             store, self._view, self._log, CONFIG_WAIT_S
         )
+        self._peers = PeerBook(settings.name, settings.link, store, self._log)
         tasks = [
+            guard_task(self._peers.register(), self._report),
             guard_task(source.run(), self._report),
             guard_task(cache.run(), self._report),
             guard_task(self._keep_controllers(store, http), self._report),
@@ -88,7 +94,7 @@
         front = WebServer(callers.make_app(), settings.listen)
         others = [
             WebServer(self._make_ready_app(), settings.ready),
-            WebServer(self._make_metrics_app(), settings.metrics),
+            WebServer(self._make_link_app(store), settings.link),
         ]
         for server in [front, *others]:
             await server.start()
@@ -126,11 +132,23 @@
         add_route(app, "GET", "/readiness", self.handle_ready)
         return app
 
-    def _make_metrics_app(self) -> Application:
+    def _make_link_app(self, store: PlatformStore) -> Application:
         app = make_app()
+
+        async def read_epoch(pool: str) -> int | None:
+            return await read_holder_epoch(store, pool)
+
+        HandOverApi(self._find_consent, read_epoch, self._log).install(app)
         serve_metrics(app, self._metrics)
         return app
 
+    def _find_consent(self, pool: str) -> Callable[[int], None] | None:
+        """Return how a candidate of a pool is told to take over."""
+        known = self._controllers.get(pool)
+        if known is None or self._leaving:
+            return None
+        return known[0].lease.consent
+
     async def handle_ready(self, request: Request) -> Response:
         """Tell whether new callers are welcome."""
         ready = (
@@ -162,6 +180,7 @@
                     terms,
                     self._log,
                     self._metrics,
+                    self._peers,
                 )
                 task = guard_task(controller.run(), self._report)
                 self._controllers[pool] = (controller, task)
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -30,7 +30,7 @@
 from hickorywing.rows import StoredRow
 from hickorywing.rows import StoreUnavailable
 
-__all__ = ["LEASE_S", "PoolLease"]
+__all__ = ["LEASE_S", "PoolLease", "read_holder_epoch"]
 
 # A holder that dies leaves its pool without decisions for one lease, so the
 # lease is short; one renewal that times out after a probe fits into it.
@@ -40,6 +40,8 @@
 # Keeps two candidates from writing in the same instant.
 CANDIDATE_SPREAD_S = 0.1
 WATCH_S = 0.5
+# Longer than a read of a slow store; the offer's own limit is just above.
+READ_TIMEOUT_S = 0.4
 
 
 class PoolLease:
@@ -52,6 +54,7 @@
         store: RowStore,
         log: DecisionLog,
         metrics: Metrics,
+        offer: Callable[[int], Awaitable[str]] | None = None,
     ) -> None:
         self.pool = pool
         self.name = name
@@ -63,6 +66,9 @@
         self._metrics = metrics
         self._version = 0
         self._renewal = 0
+        self._offer = offer
+        self._consented = 0
+        self._consent_given = asyncio.Event()
         self._released = False
         self._lost = asyncio.Event()
 
@@ -92,6 +98,11 @@
             )
             self._lost.set()
 
+    def consent(self, epoch: int) -> None:
+        """Take over at once, as the holder of a term has asked for it."""
+        self._consented = epoch
+        self._consent_given.set()
+
     async def run(self, serve: Callable[[], Awaitable[None]]) -> None:
         """Compete, and run ``serve`` during each term, until cancelled."""
         while not self._released:
@@ -149,7 +160,10 @@
                 seen, still_since = row, at
             lease = decode_lease(row)
             # The own name is that of an earlier process on this VM.
-            vacant = lease.holder in ("", self.name)
+            vacant = (
+                lease.holder in ("", self.name)
+                or lease.epoch == self._consented
+            )
             if vacant or at - still_since >= LEASE_S:
                 if await self._take(row, lease):
                     return True
@@ -161,7 +175,22 @@
     async def _wait_for_change(
         self, row: StoredRow | None, left_s: float
     ) -> None:
-        """Return when the row may have changed or a lease time is over."""
+        """Return when the row may have changed or a lease time is over.
+
+        Returns at once when the holder gives its consent.
+        """
+        self._consent_given.clear()
+        consent = asyncio.ensure_future(self._consent_given.wait())
+        change = asyncio.ensure_future(self._follow(row, left_s))
+        try:
+            await asyncio.wait(
+                (consent, change), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            consent.cancel()
+            change.cancel()
+
+    async def _follow(self, row: StoredRow | None, left_s: float) -> None:
         try:
             await self._store.follow(
                 LEASES, version_of(row), min(left_s, WATCH_S)
@@ -227,6 +256,15 @@
             self._recognise(answer, sent_s)
         else:
             self._metrics.count("lease_renewals_failed", pool=self.pool)
+            await self._hand_over()
+
+    async def _hand_over(self) -> None:
+        """Give the role to an entry that reaches the store, if any does."""
+        if self._offer is None or self._lost.is_set():
+            return
+        successor = await self._offer(self.epoch)
+        if successor:
+            self.surrender(f"handed to {successor}")
 
     def _recognise(self, mismatch: Mismatch, sent_s: float) -> None:
         """Take a row with this holder's name as an earlier lost renewal."""
@@ -254,6 +292,15 @@
         )
 
 
+async def read_holder_epoch(store: RowStore, pool: str) -> int | None:
+    """Return the term in the lease row, ``None`` if the store is silent."""
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            return decode_lease(await store.read_row(lease_key(pool))).epoch
+    except (StoreUnavailable, TimeoutError):
+        return None
+
+
 def version_of(row: StoredRow | None) -> int:
     """Return a row's version, 0 when there is none."""
     return 0 if row is None else row.version
--- a/hickorywing/settings.py
+++ b/hickorywing/settings.py
@@ -97,7 +97,7 @@
     zone: str = Field(min_length=1)
     listen: Address = Field(pattern=ADDRESS)
     ready: Address = Field(pattern=ADDRESS)
-    metrics: Address = Field(pattern=ADDRESS)
+    link: Address = Field(pattern=ADDRESS)
     store: Address = Field(pattern=ADDRESS)
     lease_limit_s: float = Field(gt=0)
     key_age_limit_s: float = Field(gt=0)
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -135,7 +135,7 @@
             "zone": zone,
             "listen": listen,
             "ready": free_address(),
-            "metrics": free_address(),
+            "link": free_address(),
             "store": self.store_address,
             "lease_limit_s": 10,
             "key_age_limit_s": 5,
--- /dev/null
+++ b/tests/test_poollease.py
@@ -0,0 +1,154 @@
+"""Who holds a pool's lease, under cuts, releases and races."""
+
+import asyncio
+
+from hickorywing.decisions import DecisionLog
+from hickorywing.metrics import Metrics
+from hickorywing.poollease import LEASE_S
+from hickorywing.poollease import PoolLease
+from hickorywing.poollease import read_holder_epoch
+from hickorywing.rows import Commit
+from hickorywing.rows import RowStore
+from hickorywing.rows import RowTransaction
+from hickorywing.rows import StoreUnavailable
+from hickorywing.rows import Unknown
+from hickorywing.standins.rowstore import MemoryRowStore
+
+
+class CutStore(RowStore):
+    """One process's way to a store, which can be cut."""
+
+    def __init__(self, store: MemoryRowStore) -> None:
+        self.store = store
+        self.cut = False
+
+    def check(self) -> None:
+        if self.cut:
+            raise StoreUnavailable("cut off")
+
+    async def read_part(self, *where):
+        self.check()
+        return await self.store.read_part(*where)
+
+    async def follow(self, *where):
+        self.check()
+        page = await self.store.follow(*where)
+        self.check()
+        return page
+
+    async def commit(self, transaction: RowTransaction) -> Commit:
+        if self.cut:
+            return Unknown()
+        return await self.store.commit(transaction)
+
+
+class NoOutput:
+    def write(self, line: bytes) -> None:
+        pass
+
+
+class Candidates:
+    """Two candidates over one store; ``serving`` lists who serves."""
+
+    async def __aenter__(self) -> "Candidates":
+        rows = MemoryRowStore()
+        self.ways = {name: CutStore(rows) for name in "ab"}
+        self.leases: dict[str, PoolLease] = {}
+        self.serving: list[str] = []
+        self.tasks: dict[str, asyncio.Task] = {}
+        self.consenting = False
+        await self.begin("a")
+        await self.wait(lambda: self.serving == ["a"])
+        await self.begin("b")
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+
+    async def begin(self, name: str) -> None:
+        metrics = Metrics(name)
+        log = DecisionLog(name, "entry", metrics, NoOutput())
+        lease = PoolLease("p", name, self.ways[name], log, metrics, self.offer)
+        self.leases[name] = lease
+
+        async def serve() -> None:
+            self.serving.append(name)
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self.serving.remove(name)
+
+        self.tasks[name] = asyncio.ensure_future(lease.run(serve))
+
+    async def offer(self, epoch: int) -> str:
+        if not self.consenting:
+            return ""
+        if await read_holder_epoch(self.ways["b"], "p") != epoch:
+            return ""
+        self.leases["b"].consent(epoch)
+        return "b"
+
+    async def wait(self, check, timeout_s: float = 2 * LEASE_S) -> float:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while not check():
+            assert loop.time() - began < timeout_s, self.serving
+            await asyncio.sleep(0.01)
+        return loop.time() - began
+
+
+class TestTakeover:
+    """A candidate waits for a whole lease, unless it needn't."""
+
+    async def test_after_the_holder_died(self):
+        async with Candidates() as both:
+            both.tasks["a"].cancel()
+            took_s = await both.wait(lambda: both.serving == ["b"])
+            assert took_s > LEASE_S / 2
+            assert both.leases["b"].epoch == 2
+
+    async def test_at_once_after_a_release(self):
+        async with Candidates() as both:
+            await both.leases["a"].release()
+            took_s = await both.wait(lambda: "b" in both.serving)
+            assert took_s < LEASE_S / 2
+
+    async def test_at_once_by_a_restarted_holder(self):
+        async with Candidates() as both:
+            both.tasks["a"].cancel()
+            await both.begin("a")
+            took_s = await both.wait(lambda: both.leases["a"].epoch == 2)
+            assert took_s < LEASE_S / 2
+
+    async def test_never_while_the_store_is_down_for_all(self):
+        async with Candidates() as both:
+            for way in both.ways.values():
+                way.cut = True
+            await asyncio.sleep(1.5 * LEASE_S)
+            assert both.serving == ["a"]
+            for way in both.ways.values():
+                way.cut = False
+            await asyncio.sleep(LEASE_S)
+            assert both.serving == ["a"]
+
+
+class TestHandOver:
+    """A holder that the store turns away gives its role to another."""
+
+    async def test_to_an_entry_that_reaches_the_store(self):
+        async with Candidates() as both:
+            both.consenting = True
+            both.ways["a"].cut = True
+            took_s = await both.wait(lambda: both.serving == ["b"])
+            assert took_s < LEASE_S * 0.7
+
+    async def test_not_while_nobody_reaches_the_store(self):
+        async with Candidates() as both:
+            both.consenting = True
+            for way in both.ways.values():
+                way.cut = True
+            await asyncio.sleep(1.5 * LEASE_S)
+            assert both.serving == ["a"]
+            assert not both.leases["a"].holds()
