Take back what another customer's urgent work borrowed

Cause: urgent work never gave way to urgent work, so a burst of one customer could hold accelerators that are guaranteed to another past the bound for reclaiming. A customer's urgent jobs are covered in order up to its guarantee; covered work comes before, and may stop, urgent work that isn't. The planner's input moves to runplanning.py.

--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -125,7 +125,7 @@
             )
             return
         workers = self._place(waiting, self._soon)
-        if workers is None and waiting.priority == 0:
+        if workers is None and waiting.priority <= 0:
             workers = self._await_ends(waiting) or self._preempt(waiting)
         if waiting.priority > 0:
             workers = self._reserve(waiting)
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -22,17 +22,9 @@
 from hickorywing.policy.poolhealth import WorkerHealth
 from hickorywing.policy.poolmodel import name_of
 from hickorywing.policy.poolmodel import vm_of
-from hickorywing.policy.poolmodel import WorkerFacts
 from hickorywing.policy.poolplanner import Assignment
-from hickorywing.policy.poolplanner import PlanInput
-from hickorywing.policy.poolplanner import Planner
-from hickorywing.policy.poolplanner import WaitingUnit
-from hickorywing.policy.poolpreemption import RunningUnit
-from hickorywing.policy.poolprogress import estimate_left_s
 from hickorywing.policy.poolprogress import estimate_lost_s
 from hickorywing.policy.poolprogress import ProgressTerms
-from hickorywing.policy.poolroom import measure_room
-from hickorywing.policy.poolroom import PoolRoom
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import format_task
 from hickorywing.policy.poolruns import JobState
@@ -44,12 +36,10 @@
 from hickorywing.poollease import PoolLease
 from hickorywing.runorders import OpenMember
 from hickorywing.runorders import RunOrders
+from hickorywing.runplanning import RunPlanning
 
 __all__ = ["ControllerTerms", "RunControl"]
 
-# A worker that has not been heard of for this long gets no new work: it is
-# longer than an idle watch and one retry.
-WORKER_SILENT_S = 3.5
 # Placements wait for their commit, so none is made while one is stuck.
 COMMIT_STUCK_S = 0.5
 # Later than any lease that an earlier controller may have granted.
@@ -101,7 +91,10 @@
         self._orders = RunOrders(
             lease, self._workers, self._end_member, self.wake, log, metrics
         )
-        self._planning = False
+        self._planning = RunPlanning(
+            self._workers, view, self._health, self._orders, terms.progress
+        )
+        self._acting = False
         self._unstored_saves: set[str] = set()
         self._saves_stored_s = 0.0
 
@@ -111,8 +104,8 @@
 
     def wake(self) -> None:
         """Plan and give orders soon, once for all that happens at a time."""
-        if not self._planning:
-            self._planning = True
+        if not self._acting:
+            self._acting = True
             asyncio.get_running_loop().call_soon(self._act)
 
     def tick(self, unix_s: float) -> None:
@@ -143,7 +136,7 @@
         )
 
     def _act(self) -> None:
-        self._planning = False
+        self._acting = False
         if self._may_place():
             self._plan()
         self._orders.give(self._open_members())
@@ -454,93 +447,14 @@
 
     def _plan(self) -> None:
         """Place waiting units and stop what has to give way."""
-        waiting = list(self._waiting_units())
-        if not waiting:
-            return
-        room = self._measure_room()
-        plan = Planner(
-            PlanInput(
-                room.workers,
-                room.free,
-                room.coming,
-                waiting,
-                list(self._running_units()),
-                now_s(),
-                self._select(room, self._health.is_suspect),
-                self._select(room, self._health.is_proven),
-            )
-        ).make_plan()
+        plan = self._planning.make_plan(
+            self._live.values(), self._open_members()
+        )
         for assignment in plan.starts:
             self._place(assignment)
         for victim, unit in plan.stops:
             self._preempt(victim, unit)
 
-    def _select(
-        self, room: PoolRoom, has: Callable[[str, float], bool]
-    ) -> frozenset[str]:
-        """Return the usable workers that have a quality now."""
-        now = now_s()
-        return frozenset(name for name in room.workers if has(name, now))
-
-    def _waiting_units(self) -> Iterator[WaitingUnit]:
-        for state in self._live.values():
-            terms = state.job.terms
-            for unit in state.ready_units():
-                yield WaitingUnit(
-                    unit,
-                    state.job.steps[unit.step],
-                    terms.priority,
-                    (float(state.accepted), unit.occurrence, unit.first),
-                    state.job.customer,
-                    state.list_failed_on(now_s()),
-                )
-
-    def _running_units(self) -> Iterator[RunningUnit]:
-        now = now_s()
-        for state in self._live.values():
-            for unit in state.running_units():
-                step = state.job.steps[unit.step]
-                yield RunningUnit(
-                    unit,
-                    step,
-                    state.job.terms.priority,
-                    estimate_lost_s(unit, step, now, self._progress),
-                    estimate_left_s(unit, now),
-                )
-
-    def _measure_room(self) -> PoolRoom:
-        workers = {
-            name: WorkerFacts(
-                name,
-                link.report.zone,
-                link.report.capacity,
-                link.report.labels,
-            )
-            for name, link in self._workers.items()
-            if self._is_usable(name, link)
-        }
-        return measure_room(
-            workers,
-            (
-                (item.member.worker, item.step, bool(item.unit.stopping))
-                for item in self._open_members()
-            ),
-        )
-
-    def _is_usable(self, name: str, link: AgentLink) -> bool:
-        """Tell whether a worker may get new work now."""
-        report = link.report
-        return (
-            report is not None
-            and report.worker == name
-            and report.clock_ms > 0
-            and not report.draining
-            and report.zone not in self._view.zones_out
-            and link.silent_s() < WORKER_SILENT_S
-            and self._orders.trusts(name)
-            and not self._health.is_bad(name, now_s())
-        )
-
     def _place(self, assignment: Assignment) -> None:
         unit = assignment.unit
         unit.place(list(assignment.workers), now_s())
--- /dev/null
+++ b/hickorywing/runplanning.py
@@ -0,0 +1,145 @@
+"""Make plans for a pool from its jobs and what is known of its workers."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+
+from hickorywing.agentlink import AgentLink
+from hickorywing.clock import now_s
+from hickorywing.policy.poolguarantees import find_covered
+from hickorywing.policy.poolguarantees import rank_priority
+from hickorywing.policy.poolhealth import WorkerHealth
+from hickorywing.policy.poolmodel import WorkerFacts
+from hickorywing.policy.poolplanner import Plan
+from hickorywing.policy.poolplanner import PlanInput
+from hickorywing.policy.poolplanner import Planner
+from hickorywing.policy.poolplanner import WaitingUnit
+from hickorywing.policy.poolpreemption import RunningUnit
+from hickorywing.policy.poolprogress import estimate_left_s
+from hickorywing.policy.poolprogress import estimate_lost_s
+from hickorywing.policy.poolprogress import ProgressTerms
+from hickorywing.policy.poolroom import measure_room
+from hickorywing.policy.poolroom import PoolRoom
+from hickorywing.policy.poolruns import JobState
+from hickorywing.poolconfig import ConfigurationView
+from hickorywing.runorders import OpenMember
+from hickorywing.runorders import RunOrders
+
+__all__ = ["RunPlanning"]
+
+# A worker that has not been heard of for this long gets no new work: it is
+# longer than an idle watch and one retry.
+WORKER_SILENT_S = 3.5
+
+
+class RunPlanning:
+    """Feeds the planner during one term of a controller."""
+
+    def __init__(
+        self,
+        workers: Mapping[str, AgentLink],
+        view: ConfigurationView,
+        health: WorkerHealth,
+        orders: RunOrders,
+        progress: ProgressTerms,
+    ) -> None:
+        self._workers = workers
+        self._view = view
+        self._health = health
+        self._orders = orders
+        self._progress = progress
+
+    def make_plan(
+        self, states: Collection[JobState], members: Iterable[OpenMember]
+    ) -> Plan:
+        """Return what to start and to stop among the live jobs."""
+        covered = find_covered(states, self._view.guarantees())
+        waiting = list(self._list_waiting(states, covered))
+        if not waiting:
+            return Plan()
+        room = self._measure_room(members)
+        return Planner(
+            PlanInput(
+                room.workers,
+                room.free,
+                room.coming,
+                waiting,
+                list(self._list_running(states, covered)),
+                now_s(),
+                self._select(room, self._health.is_suspect),
+                self._select(room, self._health.is_proven),
+            )
+        ).make_plan()
+
+    def _select(
+        self, room: PoolRoom, has: Callable[[str, float], bool]
+    ) -> frozenset[str]:
+        """Return the usable workers that have a quality now."""
+        now = now_s()
+        return frozenset(name for name in room.workers if has(name, now))
+
+    def _list_waiting(
+        self, states: Iterable[JobState], covered: frozenset[str]
+    ) -> Iterator[WaitingUnit]:
+        for state in states:
+            priority = rank_priority(state, covered)
+            for unit in state.ready_units():
+                yield WaitingUnit(
+                    unit,
+                    state.job.steps[unit.step],
+                    priority,
+                    (float(state.accepted), unit.occurrence, unit.first),
+                    state.job.customer,
+                    state.list_failed_on(now_s()),
+                )
+
+    def _list_running(
+        self, states: Iterable[JobState], covered: frozenset[str]
+    ) -> Iterator[RunningUnit]:
+        now = now_s()
+        for state in states:
+            priority = rank_priority(state, covered)
+            for unit in state.running_units():
+                step = state.job.steps[unit.step]
+                yield RunningUnit(
+                    unit,
+                    step,
+                    priority,
+                    estimate_lost_s(unit, step, now, self._progress),
+                    estimate_left_s(unit, now),
+                )
+
+    def _measure_room(self, members: Iterable[OpenMember]) -> PoolRoom:
+        workers = {
+            name: WorkerFacts(
+                name,
+                link.report.zone,
+                link.report.capacity,
+                link.report.labels,
+            )
+            for name, link in self._workers.items()
+            if self._is_usable(name, link)
+        }
+        return measure_room(
+            workers,
+            (
+                (item.member.worker, item.step, bool(item.unit.stopping))
+                for item in members
+            ),
+        )
+
+    def _is_usable(self, name: str, link: AgentLink) -> bool:
+        """Tell whether a worker may get new work now."""
+        report = link.report
+        return (
+            report is not None
+            and report.worker == name
+            and report.clock_ms > 0
+            and not report.draining
+            and report.zone not in self._view.zones_out
+            and link.silent_s() < WORKER_SILENT_S
+            and self._orders.trusts(name)
+            and not self._health.is_bad(name, now_s())
+        )
--- a/hickorywing/ui.py
+++ b/hickorywing/ui.py
@@ -40,6 +40,8 @@
 from hickorywing.rules import RulesModel
 from hickorywing.settings import AgentSettings
 from hickorywing.settings import EntrySettings
+from hickorywing.settings import PoolAgentSettings
+from hickorywing.settings import PoolEntrySettings
 from hickorywing.settings import StandinSettings
 
 __all__ = ["ExitCode", "main"]
@@ -308,14 +310,26 @@
 
 def guess_kind(path: Path) -> str:
     """Return the kind of a file by its name."""
-    for kind in ("inventory", "rules", "entry", "agent"):
+    for kind in (
+        "inventory",
+        "rules",
+        "pool-entry",
+        "pool-agent",
+        "entry",
+        "agent",
+    ):
         if kind in path.name:
             return kind
     return "standin"
 
 
 def _settings_model(path: Path) -> type[Model]:
-    models = {"entry": EntrySettings, "agent": AgentSettings}
+    models = {
+        "entry": EntrySettings,
+        "agent": AgentSettings,
+        "pool-entry": PoolEntrySettings,
+        "pool-agent": PoolAgentSettings,
+    }
     return models.get(guess_kind(path), StandinSettings)
 
 
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -1,5 +1,7 @@
 """Builders for tests of the pool's decisions."""
 
+from hickorywing.policy.poolguarantees import find_covered
+from hickorywing.policy.poolguarantees import rank_priority
 from hickorywing.policy.poolmodel import PoolJob
 from hickorywing.policy.poolmodel import QueueTerms
 from hickorywing.policy.poolmodel import Resources
@@ -53,6 +55,7 @@
             for number in range(workers)
         }
         self.jobs: dict[str, JobState] = {}
+        self.guarantees: dict[str, int] = {}
         self.suspects: set[str] = set()
         self.proven: set[str] = set()
         self.now_s = 100.0
@@ -70,11 +73,12 @@
             for member in unit.open_members()
         ]
         room = measure_room(self.facts, members)
+        covered = find_covered(self.jobs.values(), self.guarantees)
         waiting = [
             WaitingUnit(
                 unit,
                 state.job.steps[unit.step],
-                state.job.terms.priority,
+                rank_priority(state, covered),
                 (float(state.accepted),),
                 state.job.customer,
                 state.list_failed_on(self.now_s),
@@ -86,7 +90,7 @@
             RunningUnit(
                 unit,
                 state.job.steps[unit.step],
-                state.job.terms.priority,
+                rank_priority(state, covered),
                 estimate_lost_s(
                     unit,
                     state.job.steps[unit.step],
