Plan only once all answering workers are known

Ruled out: the choice of victims (right for the room that was known). A new term plans when all agents have reported a worker, at the latest after 0.3 s.

--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -54,6 +54,9 @@
 # cut off from the store learns of its successor from the agents.
 RENEW_UNCONFIRMED_S = 20.0
 COUNT_EVERY_S = 0.5
+# Agents answer a new controller within a few round trips and one look at
+# their worker; those that are away are not waited for.
+SETTLE_S = 0.3
 
 
 class PoolController:
@@ -137,8 +140,27 @@
         )
         self._committer = Committer(lease, store, log)
         self._counts: dict[str, int] = {}
+        self._began_s = now_s()
+        self._agents_read = False
         self._runs = RunControl(
-            lease, view, terms, self._committer, log, metrics
+            lease,
+            view,
+            terms,
+            self._committer,
+            self._is_settled,
+            log,
+            metrics,
+        )
+
+    def _is_settled(self) -> bool:
+        """Tell whether all workers that answer are known.
+
+        A plan over the first few would stop work although others have room.
+        """
+        if now_s() - self._began_s >= SETTLE_S:
+            return True
+        return self._agents_read and all(
+            link.worker for link, _ in self._links.values()
         )
 
     def _may_renew(self) -> bool:
@@ -267,6 +289,7 @@
                 await asyncio.sleep(RETRY_S)
         for row in read.rows:
             self._take_agent(row)
+        self._agents_read = True
         await self._follow(
             AGENTS, read.version, AGENT_FEED_WAIT_S, self._take_agent
         )
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -67,6 +67,7 @@
         view: ConfigurationView,
         terms: ControllerTerms,
         committer: Committer,
+        is_settled: Callable[[], bool],
         log: DecisionLog,
         metrics: Metrics,
     ) -> None:
@@ -78,6 +79,7 @@
         self._progress = terms.progress
         self._health = WorkerHealth()
         self._committer = committer
+        self._is_settled = is_settled
         self._log = log
         self._metrics = metrics
         self._workers: dict[str, AgentLink] = {}
@@ -441,6 +443,7 @@
     def _may_place(self) -> bool:
         return (
             self._lease.holds()
+            and self._is_settled()
             and self._committer.stuck_s() < COMMIT_STUCK_S
             and self._view.age_s(now_s()) < self._config_age_limit_s
         )
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -96,6 +96,22 @@
             await system.wait(lambda: len(system.starts()) == 2)
             assert system.starts()[1].saved >= "002"
 
+    async def test_successor_knows_all_workers_before_it_plans(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=3) as system:
+            await system.submit(JOB + "0", run_s=30, gpu=8)
+            await system.wait(lambda: system.starts())
+            holder = system.controller()
+            other = next(name for name in system.entries if name != holder)
+            system.kill(holder)
+            await system.submit(
+                JOB + "1", queue="urgent", entry=other, gpu=8, count=2
+            )
+            await system.wait_status(
+                JOB + "1", "completed", queue="urgent", entry=other
+            )
+            events = [line["event"] for line in system.log_lines()]
+            assert "run preempted" not in events
+
     async def test_planned_stop_hands_over_at_once(self, tmp_path):
         async with PlatformSystem(tmp_path) as system:
             holder = system.controller()
