Try a step that doesn't fit once a plan

Room only shrinks within a plan, so the other tasks of the step are left out. The test counts the tries: at most 80 now.

--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -102,6 +102,8 @@
         self._stopped: set[tuple] = set()
         self._plan = Plan()
         self._reserved = 0
+        # Tasks of a step ask for the same, and room only shrinks in a plan.
+        self._unplaceable: set[tuple] = set()
         self._releases = index_releases(state.running)
         self._victims = index_victims(state.running)
         self._spread = count_spread(state.running)
@@ -115,6 +117,16 @@
         return self._plan
 
     def _serve(self, waiting: WaitingUnit) -> None:
+        unit = waiting.unit
+        patient = self._state.now_s - unit.waiting_since_s < DATA_WAIT_S
+        kind = (unit.step_key, unit.failures > 0, patient)
+        if kind in self._unplaceable:
+            return
+        if not self._find_room(waiting):
+            self._unplaceable.add(kind)
+
+    def _find_room(self, waiting: WaitingUnit) -> bool:
+        """Start a unit or keep room for it; tell whether there was any."""
         workers = self._place(waiting, self._free)
         if workers is not None:
             self._take(self._free, waiting.step, workers)
@@ -123,7 +135,7 @@
             self._spread.setdefault(waiting.unit.step_key, Counter()).update(
                 workers
             )
-            return
+            return True
         workers = self._place(waiting, self._soon)
         if workers is None and waiting.priority <= 0:
             workers = self._await_ends(waiting) or self._preempt(waiting)
@@ -133,6 +145,7 @@
             # Keeps the room for this unit until it is free.
             self._take(self._free, waiting.step, workers)
             self._take(self._soon, waiting.step, workers)
+        return workers is not None
 
     def _take(
         self,
--- a/tests/test_poolplanner.py
+++ b/tests/test_poolplanner.py
@@ -6,8 +6,12 @@
 from poolhelpers import make_job
 from poolhelpers import Pool
 
+from hickorywing.policy import poolplanner
 from hickorywing.policy.poolruns import Ending
 
+# Free room and room that is being freed, each with and without suspects.
+TRIES_PER_STEP = 4
+
 
 class TestSpread:
     """At most so many tasks of a step on one worker."""
@@ -213,3 +217,24 @@
         pool.add(make_job("small", steps=(gpu_step(2),)))
         pool.now_s += 10
         assert pool.run().starts == []
+
+
+class TestScale:
+    """A wide step that doesn't fit is not tried task by task."""
+
+    def test_thousands_of_waiting_tasks_on_full_workers(self, monkeypatch):
+        pool = Pool(workers=54)
+        pool.add(make_job("old", steps=(gpu_step(8, count=54),)))
+        pool.run()
+        for number in range(20):
+            pool.add(make_job(f"j{number}", steps=(gpu_step(1, count=100),)))
+        pool.now_s += 1
+        tried = []
+        place = poolplanner.place_unit
+        monkeypatch.setattr(
+            poolplanner,
+            "place_unit",
+            lambda *given: tried.append(1) or place(*given),
+        )
+        assert pool.run().starts == []
+        assert len(tried) <= 20 * TRIES_PER_STEP
