Delete the rows of jobs that ended long ago

Ruled out: deleting at once (a submission that was held up may arrive again, and must be the same job). Tests also cover lost, late and fenced commits.

--- a/hickorywing/committer.py
+++ b/hickorywing/committer.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import msgspec
 
@@ -47,6 +48,7 @@
         self._store = store
         self._log = log
         self._dirty: dict[RowKey, tuple[Encode, list[Stored]]] = {}
+        self._removals: list[RowKey] = []
         self._wake = asyncio.Event()
         self._busy_since_s: float | None = None
 
@@ -71,6 +73,11 @@
         self._dirty[key] = (encode, callbacks)
         self._wake.set()
 
+    def remove(self, keys: Iterable[RowKey]) -> None:
+        """Ask for rows to be deleted that nobody writes any more."""
+        self._removals.extend(keys)
+        self._wake.set()
+
     async def run(self) -> None:
         """Write what is asked for until the role is lost."""
         while True:
@@ -81,6 +88,22 @@
             while self._dirty:
                 if not await self._write_some():
                     return
+            if self._removals:
+                await self._remove_some()
+
+    async def _remove_some(self) -> None:
+        """Delete rows; what fails is tried again with the next write."""
+        keys = self._removals[:ROWS_PER_COMMIT]
+        answer = await self._store.commit(
+            RowTransaction(
+                (self._lease.expectation(),),
+                tuple(RowWrite(key, None) for key in keys),
+            )
+        )
+        if isinstance(answer, Committed):
+            del self._removals[: len(keys)]
+            for key in keys:
+                self.versions.pop(key, None)
 
     async def _write_some(self) -> bool:
         batch = {
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -54,6 +54,7 @@
 # cut off from the store learns of its successor from the agents.
 RENEW_UNCONFIRMED_S = 20.0
 COUNT_EVERY_S = 0.5
+SWEEP_EVERY_S = 10.0
 # Agents answer a new controller within a few round trips and one look at
 # their worker; those that are away are not waited for.
 SETTLE_S = 0.3
@@ -313,11 +314,15 @@
     async def _tick(self) -> None:
         """Do what depends on time alone."""
         counted_s = 0.0
+        swept_s = now_s()
         while True:
             self._runs.tick(time.time())
             if now_s() - counted_s >= COUNT_EVERY_S:
                 counted_s = now_s()
                 self._publish_counts()
+            if now_s() - swept_s >= SWEEP_EVERY_S:
+                swept_s = now_s()
+                self._runs.forget_ended()
             await asyncio.sleep(TICK_S)
 
     def _publish_counts(self) -> None:
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -50,6 +50,9 @@
 # A feed may leave changes out for about a second before it breaks off.
 FEED_SILENCE_S = 1.0
 POOLS_EVERY_S = 0.2
+# A submission that was held up may arrive again after its job has ended; for
+# this long it is known to be the same job.
+LATE_REPEAT_S = 600.0
 
 
 class PoolEntry:
@@ -165,6 +168,7 @@
         terms = ControllerTerms(
             lease_limit_s=self._settings.lease_limit_s,
             config_age_limit_s=self._settings.zone_age_limit_s,
+            keep_ended_s=self._settings.status_kept_s + LATE_REPEAT_S,
             progress=ProgressTerms(
                 self._settings.save_s, self._settings.restore_s
             ),
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -13,7 +13,9 @@
 from hickorywing.clock import now_s
 from hickorywing.committer import Committer
 from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import cancel_key
 from hickorywing.jobrows import encode_progress
+from hickorywing.jobrows import job_key
 from hickorywing.jobrows import progress_key
 from hickorywing.metrics import Metrics
 from hickorywing.orders import EndedRun
@@ -47,14 +49,20 @@
 # One transaction for all jobs that save. What was saved since the last one is
 # lost with the controller and the worker together.
 STORE_SAVES_EVERY_S = 2.0
+# Bounds the size of one transaction; 15 a sweep are 130,000 jobs a day.
+FORGET_AT_ONCE = 15
 
 
 @dataclass(frozen=True, slots=True)
 class ControllerTerms:
-    """Bounds of the deployment that a controller keeps, in seconds."""
+    """Bounds of the deployment that a controller keeps, in seconds.
+
+    The rows of an ended job are kept for ``keep_ended_s``.
+    """
 
     lease_limit_s: float
     config_age_limit_s: float
+    keep_ended_s: float
     progress: ProgressTerms = ProgressTerms()
 
 
@@ -87,6 +95,8 @@
             now_s() + terms.lease_limit_s + LEASE_SLACK_S
         )
         self._cancels: set[str] = set()
+        self._ended_s: dict[str, float] = {}
+        self._keep_ended_s = terms.keep_ended_s
         self._live: dict[str, JobState] = {}
         self._ends: dict[str, dict[int, bool]] = {}
         self._looked_ms: dict[str, int] = {}
@@ -192,6 +202,31 @@
         self._store(state)
         self.wake()
 
+    def forget_ended(self) -> None:
+        """Delete the rows of jobs that ended long ago."""
+        now = now_s()
+        ended = []
+        for job_id, state in self.jobs.items():
+            if len(ended) >= FORGET_AT_ONCE:
+                break
+            if not state.final or job_id in self._live:
+                continue
+            since_s = self._ended_s.setdefault(job_id, now)
+            if now - since_s >= self._keep_ended_s:
+                ended.append(job_id)
+        for job_id in ended:
+            del self.jobs[job_id], self._ended_s[job_id]
+            self._cancels.discard(job_id)
+            self._committer.remove(
+                (
+                    job_key(self._pool, job_id),
+                    cancel_key(self._pool, job_id),
+                    progress_key(self._pool, job_id),
+                )
+            )
+        if ended:
+            self._log.write("jobs forgotten", jobs=len(ended))
+
     # Reports of workers
 
     def take_report(self, link: AgentLink, report: WorkerReport) -> None:
--- a/hickorywing/settings.py
+++ b/hickorywing/settings.py
@@ -90,7 +90,8 @@
     ``lease_limit_s`` is the longest lease that a worker grants. The age
     limits bound how old the configuration may be when a key is accepted, a
     task is started in a zone, or new callers are welcomed. A worker saves
-    after each ``save_s`` of work and resumes in ``restore_s``.
+    after each ``save_s`` of work and resumes in ``restore_s``. The status of
+    an ended job is answered for ``status_kept_s``.
     """
 
     name: str = Field(min_length=1)
@@ -103,6 +104,7 @@
     key_age_limit_s: float = Field(gt=0)
     zone_age_limit_s: float = Field(gt=0)
     ready_age_limit_s: float = Field(gt=0)
+    status_kept_s: float = Field(default=120.0, gt=0)
     save_s: float = Field(default=0.5, gt=0)
     restore_s: float = Field(default=0.25, ge=0)
     drain_notice_s: float = Field(default=1.0, ge=0, le=60)
--- /dev/null
+++ b/tests/test_runcontrol.py
@@ -0,0 +1,145 @@
+"""A controller's jobs and rows, without workers or processes."""
+
+import asyncio
+
+from poolhelpers import make_job
+
+from hickorywing.committer import Committer
+from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import cancel_key
+from hickorywing.jobrows import encode_job
+from hickorywing.jobrows import encode_progress
+from hickorywing.jobrows import epoch_key
+from hickorywing.jobrows import job_key
+from hickorywing.jobrows import progress_key
+from hickorywing.jobrows import restore_progress
+from hickorywing.metrics import Metrics
+from hickorywing.policy.poolruns import Ending
+from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolruns import JobStatus
+from hickorywing.poolconfig import ConfigurationView
+from hickorywing.poollease import PoolLease
+from hickorywing.runcontrol import ControllerTerms
+from hickorywing.runcontrol import RunControl
+from hickorywing.standins.rowstore import MemoryRowStore
+from hickorywing.standins.rowstore import StoreFault
+
+
+class NoOutput:
+    def write(self, line: bytes) -> None:
+        pass
+
+
+class Control:
+    """A controller's parts over a store in memory."""
+
+    def __init__(self) -> None:
+        self.store = MemoryRowStore()
+        metrics = Metrics("test")
+        log = DecisionLog("test", "entry", metrics, NoOutput())
+        self.lease = PoolLease("p", "e0", self.store, log, metrics)
+        self.lease.epoch = 1
+        self.lease.epoch_version = self.store.put(epoch_key("p"), b"\x01")
+        self.committer = Committer(self.lease, self.store, log)
+        self.runs = RunControl(
+            self.lease,
+            ConfigurationView(),
+            ControllerTerms(10.0, 5.0, 0.0),
+            self.committer,
+            lambda: True,
+            log,
+            metrics,
+        )
+
+    async def __aenter__(self) -> "Control":
+        self.task = asyncio.ensure_future(self.committer.run())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    def accept(self, job_id: str) -> JobState:
+        job = make_job(job_id)
+        version = self.store.put(job_key("p", job_id), encode_job(job))
+        state = JobState(job, version, 0.0)
+        self.runs.add(state, restored=False)
+        return state
+
+    async def wait(self, check) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + 3
+        while not check():
+            assert loop.time() < deadline
+            await asyncio.sleep(0.01)
+
+
+class TestRows:
+    """Rows follow the decisions, whatever the store answers."""
+
+    async def test_lost_answer_of_a_commit(self):
+        async with Control() as control:
+            control.store.plan_faults(StoreFault.LOST_AFTER)
+            control.accept("j1")
+            control.runs.cancel("j1")
+            key = progress_key("p", "j1")
+            await control.wait(lambda: key in control.store.rows)
+            await control.wait(lambda: control.committer.stuck_s() == 0)
+            assert control.committer.versions[key] == (
+                control.store.rows[key].version
+            )
+
+    async def test_commit_that_comes_late_changes_nothing(self):
+        async with Control() as control:
+            control.store.plan_faults(StoreFault.LATE)
+            control.accept("j1")
+            control.runs.cancel("j1")
+            key = progress_key("p", "j1")
+            await control.wait(lambda: key in control.store.rows)
+            before = control.store.rows[key]
+            control.store.apply_late()
+            assert control.store.rows[key] == before
+
+    async def test_replaced_controller_writes_nothing(self):
+        async with Control() as control:
+            control.store.put(epoch_key("p"), b"\x02")
+            control.accept("j1")
+            control.runs.cancel("j1")
+            await control.wait(control.task.done)
+            assert progress_key("p", "j1") not in control.store.rows
+
+    async def test_ended_jobs_are_forgotten(self):
+        async with Control() as control:
+            control.accept("j1")
+            control.accept("j2")
+            control.store.put(cancel_key("p", "j1"), b"")
+            control.runs.cancel("j1")
+            await control.wait(
+                lambda: progress_key("p", "j1") in control.store.rows
+            )
+            control.runs.forget_ended()
+            await control.wait(
+                lambda: job_key("p", "j1") not in control.store.rows
+            )
+            left = {key.key for key in control.store.rows}
+            assert left == {"epoch", "job/j2"}
+            assert set(control.runs.jobs) == {"j2"}
+
+
+class TestProgress:
+    """A successor finds in the row all that a start depends on."""
+
+    def test_runs_failures_and_saves(self):
+        state = JobState(make_job(attempts=3), 1, 0.0)
+        unit = state.units[(0, 0, 0)]
+        unit.place(["vm/w@1"], 0.0)
+        unit.end(unit.members[0], Ending.FAILED, "save-1")
+        unit.place(["vm/w@2"], 0.0)
+        state.update_status()
+        again = JobState(state.job, 1, 0.0)
+        restore_progress(again, encode_progress(state))
+        found = again.units[(0, 0, 0)]
+        assert again.status is JobStatus.ACTIVE
+        assert (found.run, found.failures, found.saved) == (2, 1, "save-1")
+        assert found.members[0].worker == "vm/w@2"
+        assert found.running
