Move runs that can't end before their worker leaves

Ruled out: the drain not being known (the agent logged it at once). A run whose share of work done says that it can't end in time is stopped, which saves what can be saved, and placed elsewhere; the others stay. The share is now dated by the look that it is from, up to 1 s before the report.

--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -21,6 +21,7 @@
 from hickorywing.orders import EndedRun
 from hickorywing.orders import RunningRun
 from hickorywing.orders import WorkerReport
+from hickorywing.policy.pooldrains import should_move
 from hickorywing.policy.poolhealth import WorkerHealth
 from hickorywing.policy.poolmodel import name_of
 from hickorywing.policy.poolmodel import vm_of
@@ -100,6 +101,7 @@
         self._live: dict[str, JobState] = {}
         self._ends: dict[str, dict[int, bool]] = {}
         self._looked_ms: dict[str, int] = {}
+        self._leaves_s: dict[str, float] = {}
         self._orders = RunOrders(
             lease, self._workers, self._end_member, self.wake, log, metrics
         )
@@ -246,9 +248,33 @@
             # An agent repeats its last look while the worker is silent.
             self._looked_ms[report.worker] = report.looked_ms
             self._take_running(link, report)
+        if report.draining:
+            self._move_runs(report)
         link.set_busy(self._is_busy(link))
         self.wake()
 
+    def _move_runs(self, report: WorkerReport) -> None:
+        """Stop the runs that can't end before their worker may leave."""
+        now = now_s()
+        leaves_s = self._leaves_s.setdefault(
+            report.worker, now + report.remaining_ms / 1000
+        )
+        for item in self._open_members():
+            unit = item.unit
+            if item.member.worker != report.worker or unit.stopping:
+                continue
+            if should_move(unit, now, leaves_s):
+                unit.stopping = "its worker leaves"
+                self._log.write(
+                    "run moved",
+                    task=item.task,
+                    run=unit.run,
+                    worker=report.worker,
+                    percent=item.member.percent,
+                    leaves_in_s=round(leaves_s - now, 2),
+                )
+                self._metrics.count("runs_moved")
+
     def _is_busy(self, link: AgentLink) -> bool:
         """Tell whether the worker has to be looked at."""
         if self._ends.get(link.worker):
@@ -263,6 +289,7 @@
         del self._workers[worker]
         self._ends.pop(worker, None)
         self._looked_ms.pop(worker, None)
+        self._leaves_s.pop(worker, None)
         for item in list(self._open_members()):
             if item.member.worker == worker:
                 self._end_member(
@@ -277,6 +304,7 @@
             del self._workers[worker]
             self._ends.pop(worker, None)
             self._looked_ms.pop(worker, None)
+            self._leaves_s.pop(worker, None)
             self._health.forget(worker)
         self._workers[report.worker] = link
         self._ends[report.worker] = {}
@@ -420,7 +448,9 @@
             self._metrics.observe(
                 "start_to_running_seconds", now_s() - item.unit.placed_at_s
             )
-        member.note_percent(run.percent, now_s())
+        # The lists are from the agent's last look.
+        looked_ago_s = max(0, report.clock_ms - report.looked_ms) / 1000
+        member.note_percent(run.percent, now_s() - looked_ago_s)
         if run.saved and run.saved != item.unit.saved:
             item.unit.saved = run.saved
             self._unstored_saves.add(item.state.job.job_id)
--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -71,6 +71,7 @@
         self.name = name
         self.starts: list[StartRecord] = []
         self.state = "ready"
+        self.remaining_ms = 0
         self.lose_answers = 0
         self._pool = pool
         self._zone = zone
@@ -133,6 +134,8 @@
                 "clock-ms": self.clock_ms(),
                 "born": self.born_ms,
             }
+            if self.state == "draining":
+                body["remaining-ms"] = self.remaining_ms
             try:
                 await http.call(
                     "PUT", url, BEAT_TIMEOUT_S, msgspec.json.encode(body)
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -268,6 +268,10 @@
 
         await self.wait(reached)
 
+    def worker(self, name: str) -> PlatformWorkerStandin:
+        """Return the worker that calls itself by a name."""
+        return self.workers[name.removeprefix("i-")]
+
     def starts(self) -> list:
         return [
             start
--- /dev/null
+++ b/tests/test_pooldrains.py
@@ -0,0 +1,24 @@
+"""Runs on a worker that is taken away at short notice."""
+
+from hickorywing.policy.pooldrains import should_move
+from hickorywing.policy.poolruns import Unit
+
+
+def make_unit(percent: int, at_s: float) -> Unit:
+    unit = Unit("j1", 0, 0, 0, 1)
+    unit.place(["w0"], 0.0)
+    unit.members[0].note_percent(percent, at_s)
+    return unit
+
+
+class TestMove:
+    """Only what can end in time stays."""
+
+    def test_stays_when_it_ends_in_time(self):
+        assert not should_move(make_unit(50, 3.0), 3.0, 6.5)
+
+    def test_moves_when_it_does_not(self):
+        assert should_move(make_unit(50, 5.0), 5.0, 8.5)
+
+    def test_moves_when_nothing_is_known(self):
+        assert should_move(make_unit(0, 0.0), 0.5, 4.0)
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -153,6 +153,20 @@
             await system.wait_status(JOB + "b", "completed")
             assert not system.workers["w0"].starts
 
+    async def test_leaving_worker_loses_no_time(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
+            await system.submit(JOB + "0", run_s=4, gpu=8)
+            await system.submit(JOB + "1", run_s=30, gpu=8)
+            await system.wait(lambda: len(system.starts()) == 2)
+            ending, long = (start.worker for start in system.starts())
+            await asyncio.sleep(1.5)
+            for worker in system.workers.values():
+                worker.remaining_ms = 3500
+                worker.state = "draining"
+            await system.wait(lambda: not system.worker(long).running())
+            assert system.worker(ending).running()
+            await system.wait_status(JOB + "0", "completed")
+
 
 class TestConfiguration:
     """Changes by the operator are followed."""
