Start nothing on a configuration that may miss a zone that is out

Cause: found by reading: the age that the configuration may have, the time for which an order lives and the silence of a feed added up to 7.5 s, past the 5 s after which nothing may start in a zone that was taken out. Ruled out: that the commit before each start covers it (it does only while the store is down). The age limit is now the bound less the other two. Ages that are not known are logged as null, as JSON has no infinity.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -17,7 +17,7 @@
 from hickorywing.orders import WatchOrder
 from hickorywing.orders import WorkerReport
 
-__all__ = ["AgentLink", "LinkTerms"]
+__all__ = ["ORDER_LIFE_S", "AgentLink", "LinkTerms"]
 
 # An order passes one link and is answered by the worker within its own limit.
 ORDER_TIMEOUT_S = 1.2
@@ -29,7 +29,7 @@
 # A worker's clock may run this much slower than the controller's.
 CLOCK_SLOWNESS = 0.02
 # Time for an order to reach the worker before it is no longer carried out.
-ORDER_LIFE_MS = 1500
+ORDER_LIFE_S = 1.5
 CONTENT_TYPE = "application/x-msgpack"
 
 
@@ -182,7 +182,7 @@
                 run=run,
                 payload=payload,
                 saved=saved,
-                expires_ms=clock_ms + ORDER_LIFE_MS,
+                expires_ms=clock_ms + int(ORDER_LIFE_S * 1000),
             ),
         )
 
--- a/hickorywing/platform/callers.py
+++ b/hickorywing/platform/callers.py
@@ -130,8 +130,11 @@
         if self._view.configuration is None or (
             age_s > self._terms.key_age_limit_s
         ):
+            known = self._view.proved_s is not None
             self._log.write(
-                "refused", reason="configuration too old", age_s=age_s
+                "refused",
+                reason="configuration too old",
+                age_s=round(age_s, 3) if known else None,
             )
             return answer_retry(503, 1)
         return await proceed(request)
--- a/hickorywing/platform/configsource.py
+++ b/hickorywing/platform/configsource.py
@@ -108,7 +108,8 @@
     def _note_regained(self) -> None:
         if not self._reachable:
             self._reachable = True
+            known = self._view.proved_s is not None
+            age_s = self._view.age_s(now_s())
             self._log.write(
-                "store regained",
-                age_s=round(self._view.age_s(now_s()), 3),
+                "store regained", age_s=round(age_s, 3) if known else None
             )
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -12,6 +12,7 @@
 from blacksheep import Request
 from blacksheep import Response
 
+from hickorywing.agentlink import ORDER_LIFE_S
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
 from hickorywing.handover import HandOverApi
@@ -167,7 +168,9 @@
         """Be a candidate for each pool of the configuration."""
         terms = ControllerTerms(
             lease_limit_s=self._settings.lease_limit_s,
-            config_age_limit_s=self._settings.zone_age_limit_s,
+            config_age_limit_s=self._settings.zone_age_limit_s
+            - FEED_SILENCE_S
+            - ORDER_LIFE_S,
             keep_ended_s=self._settings.status_kept_s + LATE_REPEAT_S,
             progress=ProgressTerms(
                 self._settings.save_s, self._settings.restore_s
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -194,6 +194,16 @@
 
             await system.wait(refused, 2.0)
 
+    async def test_no_start_on_an_old_configuration(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
+            await system.submit(JOB + "0", run_s=1, count=16)
+            await system.wait(lambda: len(system.starts()) == 8)
+            system.store.down = True
+            await asyncio.sleep(4)
+            assert len(system.starts()) == 8
+            system.store.down = False
+            await system.wait_status(JOB + "0", "completed")
+
     async def test_silent_store_ends_keys(self, tmp_path):
         async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
             system.store.down = True
