Do not take undeclared long work for a standstill

Ruled out: the looks (steady, one a second). Without a declared time the first step may take any time, and a unit that was given up before gets four times as long.

--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -113,7 +113,8 @@
 
     ``committed`` tells whether the place of the present run is stored; no
     start may be ordered before. ``stopping`` names why the run is being
-    closed although it has not ended by itself.
+    closed although it has not ended by itself; ``stalls`` counts how often
+    that was because it stood still.
     """
 
     job_id: str
@@ -130,6 +131,7 @@
     stopping: str = ""
     waiting_since_s: float = 0.0
     placed_at_s: float = 0.0
+    stalls: int = 0
 
     @property
     def key(self) -> tuple[str, int, int, int]:
--- a/hickorywing/policy/poolstalls.py
+++ b/hickorywing/policy/poolstalls.py
@@ -16,9 +16,11 @@
 LEAST_STALL_S = 4.0
 # Steps of one per cent vary around their mean by less than this.
 PACE_FACTOR = 6.0
-# With no step seen yet, the declared run time is the only guide; it is off by
-# up to 90 %.
+# With no step seen yet, the declared run time is the only guide. It is off by
+# up to ten times, and a first step is a hundredth of the work.
 DECLARED_SHARE = 0.5
+# A unit that was given up before may just be slow, so each time it gets more.
+GROWTH = 4.0
 
 
 def is_stalled(
@@ -35,8 +37,12 @@
         pace_s = worked_s / member.percent
         still_s = now_s - member.percent_at_s
         patience_s = PACE_FACTOR * pace_s
-    else:
+    elif step.estimate_s > 0:
         still_s = now_s - unit.placed_at_s
         patience_s = DECLARED_SHARE * step.estimate_s
+    else:
+        # The first step of undeclared work may take any time.
+        return False
     worth_s = min(lost_s, now_s - unit.placed_at_s - still_s)
-    return still_s > max(LEAST_STALL_S, patience_s, worth_s)
+    limit_s = max(LEAST_STALL_S, patience_s, worth_s)
+    return still_s > limit_s * GROWTH**unit.stalls
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -466,6 +466,7 @@
         ):
             return
         unit.stopping = "stands still"
+        unit.stalls += 1
         item.state.note_failed(item.member.worker, now)
         self._log.write(
             "run stalled",
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -162,6 +162,12 @@
         self._processes[name].kill()
         self._processes[name].wait()
 
+    def names(self) -> list[str]:
+        return [*self.entries, *self.workers]
+
+    def pid(self, name: str) -> int:
+        return self._processes[name].pid
+
     def signal(self, name: str, number: int) -> None:
         self._processes[name].send_signal(number)
 
--- a/tests/test_poolstalls.py
+++ b/tests/test_poolstalls.py
@@ -46,6 +46,16 @@
         assert not check(unit, 8, estimate_s=20)
         assert check(unit, 11, estimate_s=20)
 
+    def test_undeclared_long_work_goes_on(self):
+        unit = make_unit(0, 0, 0)
+        assert not check(unit, 300)
+
+    def test_each_time_it_waits_longer(self):
+        unit = make_unit(0, 0, 0)
+        unit.stalls = 2
+        assert not check(unit, 60, estimate_s=1)
+        assert check(unit, 70, estimate_s=1)
+
     def test_gang_waiting_to_be_seen(self):
         unit = make_unit(0, 0, 0)
         unit.members[0].seen = False
