Take the tests' ports from below the kernel's own range

Cause: test_key_taken_away failed once in six runs: its entry found its link's port in use. The port had been free when it was chosen, from the range out of which the kernel serves outgoing connections. Ruled out: load (the entry ended at its start, the log shows the bind), and the change under test. Each worker of a test run now has 1,500 ports of its own. New test: a store that turns the holder away, over real processes.

--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -1,13 +1,16 @@
 """The programs as processes against the emulator of the platform."""
 
 import asyncio
+import itertools
 import json
+import os
 from pathlib import Path
 import signal
 import socket
 import subprocess
 import sys
 
+from cutstore import CutStore
 import msgspec
 
 from hickorywing.httpclient import CallError
@@ -24,12 +27,30 @@
 KEY = "customer-key"
 START_TIMEOUT_S = 20.0
 WAIT_STEP_S = 0.05
+FIRST_PORT = 15_000
+PORTS_PER_WORKER = 1_500
+
+_port_numbers = itertools.count(os.getpid())
 
 
 def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return an address that no other test of this run gets.
+
+    Ports that the kernel hands out itself can be taken by any connection
+    before the program binds them, so these come from below its range.
+    """
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+    first = FIRST_PORT + int(worker) * PORTS_PER_WORKER
+    for _ in range(PORTS_PER_WORKER):
+        port = first + next(_port_numbers) % PORTS_PER_WORKER
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
+    raise AssertionError("no port is free")
 
 
 def make_configuration(version: int, **changes) -> bytes:
@@ -68,6 +89,7 @@
         self, folder: Path, workers: int = 2, entries: int = 2
     ) -> None:
         self.store = MemoryRowStore()
+        self.ways: dict[str, CutStore] = {}
         self.workers: dict[str, PlatformWorkerStandin] = {}
         self.entries: dict[str, str] = {}
         self._folder = folder
@@ -86,7 +108,7 @@
         for number in range(workers):
             await self._add_worker(f"w{number}", f"z{number % 2}")
         for number in range(entries):
-            self._add_entry(f"e{number}", f"z{number % 2}")
+            await self._add_entry(f"e{number}", f"z{number % 2}")
         try:
             await self.wait(self._is_serving)
         except BaseException:
@@ -127,8 +149,13 @@
         }
         self._start_program("pool-agent", name, settings)
 
-    def _add_entry(self, name: str, zone: str) -> None:
+    async def _add_entry(self, name: str, zone: str) -> None:
         listen = free_address()
+        way = CutStore(self.store)
+        self.ways[name] = way
+        store = await self._serve(
+            PlatformStoreStandin(way).make_app(), free_address()
+        )
         self.entries[name] = listen
         settings = {
             "name": name,
@@ -136,7 +163,7 @@
             "listen": listen,
             "ready": free_address(),
             "link": free_address(),
-            "store": self.store_address,
+            "store": store,
             "lease_limit_s": 10,
             "key_age_limit_s": 5,
             "zone_age_limit_s": 5,
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -112,6 +112,19 @@
             events = [line["event"] for line in system.log_lines()]
             assert "run preempted" not in events
 
+    async def test_store_turns_the_holder_away(self, tmp_path):
+        async with PlatformSystem(tmp_path) as system:
+            await system.submit(JOB + "0", run_s=6, count=4)
+            await system.wait(lambda: len(system.starts()) == 4)
+            holder = system.controller()
+            other = next(name for name in system.entries if name != holder)
+            system.ways[holder].cut = True
+            await system.wait(lambda: system.controller() == other, 3.0)
+            answer = await system.submit(JOB + "1", entry=holder)
+            assert answer.status in (503, 504)
+            await system.wait_status(JOB + "0", "completed", entry=other)
+            assert len(system.starts()) == 4
+
     async def test_planned_stop_hands_over_at_once(self, tmp_path):
         async with PlatformSystem(tmp_path) as system:
             holder = system.controller()
