Keep what is known of a worker in one place

Three dictionaries of the controller, by the same key, become one class with a name for each thing that was done to them.

--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -17,6 +17,7 @@
 from hickorywing.jobrows import encode_progress
 from hickorywing.jobrows import job_key
 from hickorywing.jobrows import progress_key
+from hickorywing.knownworker import KnownWorker
 from hickorywing.metrics import Metrics
 from hickorywing.orders import EndedRun
 from hickorywing.orders import RunningRun
@@ -99,9 +100,7 @@
         self._ended_s: dict[str, float] = {}
         self._keep_ended_s = terms.keep_ended_s
         self._live: dict[str, JobState] = {}
-        self._ends: dict[str, dict[int, bool]] = {}
-        self._looked_ms: dict[str, int] = {}
-        self._leaves_s: dict[str, float] = {}
+        self._known: dict[str, KnownWorker] = {}
         self._orders = RunOrders(
             lease, self._workers, self._end_member, self.wake, log, metrics
         )
@@ -244,9 +243,7 @@
             self._meet_worker(link, report)
         for end in report.ended:
             self._take_end(link, report, end)
-        if report.looked_ms > self._looked_ms.get(report.worker, 0):
-            # An agent repeats its last look while the worker is silent.
-            self._looked_ms[report.worker] = report.looked_ms
+        if self._known[report.worker].is_new_look(report):
             self._take_running(link, report)
         if report.draining:
             self._move_runs(report)
@@ -256,9 +253,7 @@
     def _move_runs(self, report: WorkerReport) -> None:
         """Stop the runs that can't end before their worker may leave."""
         now = now_s()
-        leaves_s = self._leaves_s.setdefault(
-            report.worker, now + report.remaining_ms / 1000
-        )
+        leaves_s = self._known[report.worker].find_leaving_s(report, now)
         for item in self._open_members():
             unit = item.unit
             if item.member.worker != report.worker or unit.stopping:
@@ -277,7 +272,8 @@
 
     def _is_busy(self, link: AgentLink) -> bool:
         """Tell whether the worker has to be looked at."""
-        if self._ends.get(link.worker):
+        known = self._known.get(link.worker)
+        if known is not None and known.ends:
             return True
         return any(
             item.member.worker == link.worker for item in self._open_members()
@@ -287,9 +283,7 @@
         """Take in that a worker has left; what ran on it is lost."""
         self._log.write("worker left", worker=worker)
         del self._workers[worker]
-        self._ends.pop(worker, None)
-        self._looked_ms.pop(worker, None)
-        self._leaves_s.pop(worker, None)
+        del self._known[worker]
         for item in list(self._open_members()):
             if item.member.worker == worker:
                 self._end_member(
@@ -302,12 +296,10 @@
         gone = [name for name in self._workers if vm_of(name) == vm]
         for worker in gone:
             del self._workers[worker]
-            self._ends.pop(worker, None)
-            self._looked_ms.pop(worker, None)
-            self._leaves_s.pop(worker, None)
+            del self._known[worker]
             self._health.forget(worker)
         self._workers[report.worker] = link
-        self._ends[report.worker] = {}
+        self._known[report.worker] = KnownWorker()
         self._log.write(
             "worker found",
             worker=report.worker,
@@ -353,10 +345,8 @@
     def _take_end(
         self, link: AgentLink, report: WorkerReport, end: EndedRun
     ) -> None:
-        ends = self._ends[report.worker]
-        if end.number in ends or end.number <= link.noted:
+        if not self._known[report.worker].is_new_end(end):
             return
-        ends[end.number] = False
 
         def note() -> None:
             self._note_end(link, report.worker, end.number)
@@ -376,15 +366,9 @@
 
     def _note_end(self, link: AgentLink, worker: str, number: int) -> None:
         """Let the worker forget the ends that are stored without a gap."""
-        ends = self._ends.get(worker)
-        if ends is None or link.worker != worker:
-            return
-        ends[number] = True
-        noted = link.noted
-        while ends.get(noted + 1):
-            noted += 1
-            del ends[noted]
-        link.note(noted)
+        known = self._known.get(worker)
+        if known is not None and link.worker == worker:
+            link.note(known.store_end(number))
 
     def _end_member(
         self,
