Let workers forget ends after a change of controller

Ruled out: the agents (they pass on what the controller says). The lowest number that a worker lists is now where its list begins.

--- a/hickorywing/knownworker.py
+++ b/hickorywing/knownworker.py
@@ -31,11 +31,18 @@
         return True
 
     def store_end(self, number: int) -> int:
-        """Note that an end is stored; return the last one without a gap."""
+        """Note that an end is stored; return up to which all are.
+
+        A worker lists its lowest numbers first, and those that it does not
+        list any more were noted by an earlier controller.
+        """
         self.ends[number] = True
-        while self.ends.get(self.noted + 1):
-            self.noted += 1
-            del self.ends[self.noted]
+        while self.ends:
+            lowest = min(self.ends)
+            if not self.ends[lowest]:
+                break
+            self.noted = lowest
+            del self.ends[lowest]
         return self.noted
 
     def is_new_look(self, report: WorkerReport) -> bool:
--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -104,6 +104,10 @@
         """Return the tasks and run numbers at work."""
         return {(run.task, run.run) for run in self._runs.values()}
 
+    def listed_ends(self) -> list[int]:
+        """Return the numbers of the ends that it may not forget yet."""
+        return [end[0] for end in self._ended]
+
     def make_app(self) -> Application:
         """Return the application."""
         app = make_app()
--- a/tests/test_knownworker.py
+++ b/tests/test_knownworker.py
@@ -27,7 +27,6 @@
         assert not known.is_new_end(end(3))
         assert not known.ends
 
-
     def test_successor_begins_where_the_list_begins(self):
         known = KnownWorker()
         for number in (5, 6):
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -112,6 +112,19 @@
             events = [line["event"] for line in system.log_lines()]
             assert "run preempted" not in events
 
+    async def test_successor_lets_workers_forget_ends(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=1) as system:
+            worker = system.workers["w0"]
+            await system.submit(JOB + "0", count=3)
+            await system.wait_status(JOB + "0", "completed")
+            await system.wait(lambda: not worker.listed_ends())
+            holder = system.controller()
+            other = next(name for name in system.entries if name != holder)
+            system.kill(holder)
+            await system.submit(JOB + "1", count=3, entry=other)
+            await system.wait_status(JOB + "1", "completed", entry=other)
+            await system.wait(lambda: not worker.listed_ends(), 4.0)
+
     async def test_store_turns_the_holder_away(self, tmp_path):
         async with PlatformSystem(tmp_path) as system:
             await system.submit(JOB + "0", run_s=6, count=4)
