Move only what saves its work off a worker that leaves

Stops lose the work for certain. Reverted for steps without checkpoints; a step that saves when it is stopped still moves.

--- a/hickorywing/policy/pooldrains.py
+++ b/hickorywing/policy/pooldrains.py
@@ -1,10 +1,12 @@
 """Decide which runs leave a worker that is about to leave itself.
 
-Answers workers that are taken away at short notice: a run that can't end in
-the time that is left loses its work when the worker goes, so it is better
-started elsewhere at once. One that can end is left alone.
+Answers workers that are taken away at short notice. A run that checkpoints and
+can't end in the time that is left is stopped, which saves its work, and goes
+on elsewhere. Others are left alone: they may still end, as a worker often
+stays longer than it says, and stopping them loses their work for certain.
 """
 
+from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolprogress import estimate_left_s
 from hickorywing.policy.poolruns import Unit
 
@@ -15,10 +17,12 @@
 MARGIN_S = 0.3
 
 
-def should_move(unit: Unit, now_s: float, leaves_s: float) -> bool:
-    """Tell whether a unit should be started again on other workers.
+def should_move(unit: Unit, step: Step, now_s: float, leaves_s: float) -> bool:
+    """Tell whether a unit should go on on other workers.
 
-    ``leaves_s`` is the moment at which the worker may leave. A unit of which
-    nothing is known yet has lost little, and moves.
+    ``leaves_s`` is the moment at which the worker may leave. A unit of whose
+    pace nothing is known yet counts as one that can't end.
     """
+    if not step.checkpoints:
+        return False
     return now_s + estimate_left_s(unit, now_s) > leaves_s - MARGIN_S
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -258,7 +258,7 @@
             unit = item.unit
             if item.member.worker != report.worker or unit.stopping:
                 continue
-            if should_move(unit, now, leaves_s):
+            if should_move(unit, item.step, now, leaves_s):
                 unit.stopping = "its worker leaves"
                 self._log.write(
                     "run moved",
--- a/tests/test_pooldrains.py
+++ b/tests/test_pooldrains.py
@@ -1,5 +1,7 @@
 """Runs on a worker that is taken away at short notice."""
 
+from poolhelpers import gpu_step
+
 from hickorywing.policy.pooldrains import should_move
 from hickorywing.policy.poolruns import Unit
 
@@ -11,14 +13,21 @@
     return unit
 
 
+SAVES = gpu_step(1, checkpoints=True)
+
+
 class TestMove:
-    """Only what can end in time stays."""
+    """Only what saves its work and can't end in time moves."""
 
     def test_stays_when_it_ends_in_time(self):
-        assert not should_move(make_unit(50, 3.0), 3.0, 6.5)
+        assert not should_move(make_unit(50, 3.0), SAVES, 3.0, 6.5)
 
     def test_moves_when_it_does_not(self):
-        assert should_move(make_unit(50, 5.0), 5.0, 8.5)
+        assert should_move(make_unit(50, 5.0), SAVES, 5.0, 8.5)
 
     def test_moves_when_nothing_is_known(self):
-        assert should_move(make_unit(0, 0.0), 0.5, 4.0)
+        assert should_move(make_unit(0, 0.0), SAVES, 0.5, 4.0)
+
+    def test_work_without_saves_stays(self):
+        unit = make_unit(10, 5.0)
+        assert not should_move(unit, gpu_step(1), 5.0, 8.5)
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -181,8 +181,10 @@
 
     async def test_leaving_worker_loses_no_time(self, tmp_path):
         async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
-            await system.submit(JOB + "0", run_s=4, gpu=8)
-            await system.submit(JOB + "1", run_s=30, gpu=8)
+            for job, run_s in ((JOB + "0", 4), (JOB + "1", 30)):
+                await system.submit(
+                    job, run_s=run_s, saves=True, gpu=8, checkpoint=True
+                )
             await system.wait(lambda: len(system.starts()) == 2)
             ending, long = (start.worker for start in system.starts())
             await asyncio.sleep(1.5)
