Bound a client's whole request, the answer's body included

The stacks of its tasks, read from the hanging process, show one call of the client waiting for the body of an answer whose head had come: the time limit of blacksheep's client ends with the head. Ruled out: the entry's work (idle, its log quiet), the test's waits (the gather waits for that call alone). The client uses the same HTTP client as the pool's programs, whose limit covers the body.

--- a/hickorywing/client.py
+++ b/hickorywing/client.py
@@ -3,16 +3,15 @@
 from dataclasses import dataclass
 from typing import Any
 
-from blacksheep import Content
-from blacksheep import Request
-from blacksheep.client import ClientSession
 import msgspec
 
 from hickorywing.errors import UserError
-from hickorywing.web import CLIENT_IDLE_S
+from hickorywing.httpclient import CallError
+from hickorywing.httpclient import HttpClient
 
 __all__ = ["Answer", "Client", "NotReachable"]
 
+# Bounds a whole request, its answer's body included.
 TIMEOUT_S = 60.0
 
 
@@ -54,14 +53,7 @@
     def __init__(self, entry: str, token: str) -> None:
         self.entry = entry.rstrip("/")
         self.token = token
-        self._session = ClientSession(
-            http2=False,
-            max_connection_retries=0,
-            idle_timeout=CLIENT_IDLE_S,
-            follow_redirects=False,
-            connection_timeout=3.0,
-            request_timeout=TIMEOUT_S,
-        )
+        self._http: HttpClient | None = None
 
     async def call(
         self,
@@ -71,29 +63,24 @@
         headers: dict[str, str] | None = None,
     ) -> Answer:
         """Send one request, once; raise ``NotReachable``."""
-        request = Request(method, f"{self.entry}{path}".encode(), None)
+        if self._http is None:
+            # Made here, since its connections belong to the running loop.
+            self._http = HttpClient()
+        sent = dict(headers or {})
         if self.token:
-            request.add_header(b"authorization", self._bearer())
-        for name, value in (headers or {}).items():
-            request.add_header(name.encode(), value.encode())
-        if body:
-            request = request.with_content(Content(b"application/json", body))
+            sent["Authorization"] = f"Bearer {self.token}"
         try:
-            response = await self._session.send(request)
-            whole = await response.read() or b""
-        except Exception as error:
+            answer = await self._http.call(
+                method, f"{self.entry}{path}", TIMEOUT_S, body or None, sent
+            )
+        except CallError as error:
             raise NotReachable(
-                f"no answer from {self.entry}: {type(error).__name__} {error}"
+                f"no answer from {self.entry}: {error}"
             ) from error
-        found = {
-            name.decode().lower(): value.decode()
-            for name, value in response.headers
-        }
-        return Answer(response.status, found, whole)
-
-    def _bearer(self) -> bytes:
-        return f"Bearer {self.token}".encode()
+        found = {name.lower(): value for name, value in answer.headers.items()}
+        return Answer(answer.status, found, answer.body)
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._session.close()
+        if self._http is not None:
+            await self._http.close()
--- a/hickorywing/httpclient.py
+++ b/hickorywing/httpclient.py
@@ -5,7 +5,9 @@
 the socket.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 import socket
 
 import aiohttp
@@ -28,10 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
-    """A complete answer."""
+    """A complete answer; the names of headers ignore case."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 def open_socket(address: tuple) -> socket.socket:
@@ -95,7 +98,8 @@
                 timeout=limits,
                 allow_redirects=False,
             ) as response:
-                return HttpAnswer(response.status, await response.read())
+                body_read = await response.read()
+                return HttpAnswer(response.status, body_read, response.headers)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise CallError(
                 f"{method} {url}: {type(error).__name__}"
