Stop a run again when its worker restarts under its own name

Cause: found by reading: a run whose stop was confirmed by a worker's last incarnation kept that time, by a clock that had begun anew. No look at the new incarnation was ever later, no stop was repeated, and the lease was renewed, so the run stayed open and its unit was never placed again. Ruled out: that it closes by its lease (it is renewed while the run is open). The stop is ordered again. The test failed before: no order was given.

--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -323,6 +323,8 @@
         unit, member = item.unit, item.member
         if name_of(member.worker) == name_of(successor):
             member.worker = successor
+            # A stop was confirmed by the clock of the last incarnation.
+            member.stopped_ms = None
             unit.stopping = unit.stopping or "the worker has restarted"
         else:
             self._end_member(item.state, unit, member, Ending.LOST)
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -14,6 +14,9 @@
 from hickorywing.jobrows import progress_key
 from hickorywing.jobrows import restore_progress
 from hickorywing.metrics import Metrics
+from hickorywing.orders import OrderAnswer
+from hickorywing.orders import OrderOutcome
+from hickorywing.orders import WorkerReport
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
@@ -30,6 +33,31 @@
         pass
 
 
+class FakeLink:
+    """A controller's link whose agent answers every stop."""
+
+    def __init__(self, worker: str) -> None:
+        self.worker = worker
+        self.report: WorkerReport | None = None
+        self.noted = 0
+        self.lease_end_s = float("inf")
+        self.stops: list[tuple[str, str, int]] = []
+        self.now_ms = 0
+
+    def note(self, number: int) -> None:
+        self.noted = number
+
+    def set_busy(self, busy: bool) -> None:
+        pass
+
+    def clock_ms(self) -> int:
+        return self.now_ms
+
+    async def stop(self, worker: str, task: str, run: int) -> OrderAnswer:
+        self.stops.append((worker, task, run))
+        return OrderAnswer(OrderOutcome.OK, self.now_ms)
+
+
 class Control:
     """A controller's parts over a store in memory."""
 
@@ -126,6 +154,43 @@
             assert set(control.runs.jobs) == {"j2"}
 
 
+class TestRestartedWorker:
+    """A worker that restarts under its own name has a clock of its own."""
+
+    def run_on(self, control: Control, worker: str) -> JobState:
+        state = JobState(make_job("j1"), 1, 0.0)
+        unit = state.units[(0, 0, 0)]
+        unit.place([worker], 0.0)
+        unit.committed = True
+        unit.members[0].seen = True
+        control.runs.add(state, restored=True)
+        return state
+
+    def report(self, control: Control, link: FakeLink, looked_ms: int) -> None:
+        link.now_ms = looked_ms
+        control.runs.take_report(
+            link,
+            WorkerReport(
+                worker=link.worker, clock_ms=looked_ms, looked_ms=looked_ms
+            ),
+        )
+
+    async def test_stop_at_the_last_incarnation_does_not_count(self):
+        async with Control() as control:
+            link = FakeLink("vm/i-1@1")
+            state = self.run_on(control, link.worker)
+            unit = state.units[(0, 0, 0)]
+            unit.stopping = "gives way"
+            unit.members[0].stopped_ms = 900_000
+            link.worker = "vm/i-1@2"
+            self.report(control, link, 100)
+            await control.wait(lambda: link.stops)
+            assert link.stops == [("vm/i-1@2", "j1.0.0.0", 1)]
+            assert unit.running
+            self.report(control, link, 200)
+            assert not unit.running
+
+
 class TestProgress:
     """A successor finds in the row all that a start depends on."""
 
