--- a/hickorywing/agent.py
+++ b/hickorywing/agent.py
@@ -23,6 +23,7 @@
 from hickorywing.dispatch import DispatchServer
 from hickorywing.dispatch import RevokeAnswer
 from hickorywing.dispatch import RevokeRequest
+from hickorywing.logs import get_logger
 from hickorywing.mailbox import Mailbox
 from hickorywing.mailbox import PynngMailbox
 from hickorywing.members import MemberRunner
@@ -46,6 +47,7 @@
 from hickorywing.settings import read_settings
 from hickorywing.table import HttpTable
 from hickorywing.table import Table
+from hickorywing.table import TableUnavailable
 from hickorywing.timeline import Timeline
 from hickorywing.web import answer_json
 from hickorywing.web import WebServer
@@ -334,8 +336,10 @@
     async def _read_first_head(self) -> None:
         try:
             read = await ConfigurationStore(self.table).read_head()
-        except Exception:
+        except (TableUnavailable, msgspec.MsgspecError) as error:
+            # The entries' messages bring the head as well.
             self.metrics.count("first_head_unread")
+            get_logger().warning("first head unread", error=repr(error))
             return
         self.register.adopt(read.head, float("-inf"))
 
--- a/hickorywing/entry.py
+++ b/hickorywing/entry.py
@@ -33,6 +33,7 @@
 from hickorywing.jobapi import forbid
 from hickorywing.jobapi import JobApi
 from hickorywing.keyed import KeyedRequests
+from hickorywing.logs import get_logger
 from hickorywing.mailbox import Mailbox
 from hickorywing.mailbox import PynngMailbox
 from hickorywing.messages import AgentInfo
@@ -310,8 +311,13 @@
                 )
                 body = await response.read() or b"[]"
             return msgspec.json.decode(body, type=list[Event])
-        except Exception:
+        except Exception as error:
+            # The library's errors share no base. One process that can't be
+            # read must not hide the others' events.
             self.metrics.count("timelines_unread")
+            get_logger().warning(
+                "timeline unread", agent=info.name, error=repr(error)
+            )
             return []
         finally:
             await session.close()
--- a/hickorywing/keyed.py
+++ b/hickorywing/keyed.py
@@ -180,6 +180,7 @@
         try:
             result = await self.router.route(request, dispatch)
         except BaseException:
+            # Also when the request is cancelled: it may have run.
             self._settle_later(
                 name,
                 version,
--- a/hickorywing/members.py
+++ b/hickorywing/members.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 
+from hickorywing.logs import get_logger
 from hickorywing.mailbox import Mailbox
 from hickorywing.messages import Envelope
 from hickorywing.messages import HeartbeatAck
@@ -68,13 +69,24 @@
                 ids = [task.task_id for task in known.tasks]
                 left = await self.worker.stop(TaskNames(ids))
                 await self.worker.forget(TaskNames(ids))
-            except Exception:
-                self.metrics.count("worker_calls_failed")
+            except Exception as error:
+                self._note_failed_call("clear", error)
                 await asyncio.sleep(WATCH_EVERY_S)
                 continue
             if not _running(left.tasks):
                 return
 
+    def _note_failed_call(self, call: str, error: Exception) -> None:
+        """Count and log a call that the worker did not answer.
+
+        The library's errors share no base; every caller goes on without the
+        answer, as a lease bounds what runs on the worker.
+        """
+        self.metrics.count("worker_calls_failed")
+        get_logger().warning(
+            "worker call failed", call=call, error=repr(error)
+        )
+
     def handle(self, envelope: Envelope, command: MemberCommand) -> None:
         """Take in a command."""
         if command.incarnation != self.incarnation:
@@ -138,7 +150,7 @@
                         )
                     )
         except Exception as error:
-            self.metrics.count("worker_calls_failed")
+            self._note_failed_call("start", error)
             self.timeline.record(
                 "launch failed", command.job_id, type(error).__name__
             )
@@ -188,8 +200,8 @@
                 statuses = await self.worker.stop(
                     TaskNames(ids, checkpoint=checkpoint)
                 )
-        except Exception:
-            self.metrics.count("worker_calls_failed")
+        except Exception as error:
+            self._note_failed_call("stop", error)
             return False, None
         mine = [task for task in statuses.tasks if task.task_id in ids]
         if _running(mine):
@@ -271,8 +283,9 @@
         ids = [task_id(order, task.index) for task in order.tasks]
         try:
             await self.worker.forget(TaskNames(ids))
-        except Exception:
-            self.metrics.count("worker_calls_failed")
+        except Exception as error:
+            # The worker keeps the names until it is cleared at a restart.
+            self._note_failed_call("forget", error)
 
     async def watch(self) -> None:
         """Renew the worker's leases and follow its tasks until cancelled."""
@@ -304,8 +317,8 @@
             return
         try:
             statuses = await self.worker.renew(TaskNames(list(ids)))
-        except Exception:
-            self.metrics.count("worker_calls_failed")
+        except Exception as error:
+            self._note_failed_call("renew", error)
             return
         by_id = {task.task_id: task for task in statuses.tasks}
         for member in running:
--- a/hickorywing/routing.py
+++ b/hickorywing/routing.py
@@ -24,6 +24,7 @@
 from hickorywing.dispatch import RevokeAnswer
 from hickorywing.dispatch import RevokeRequest
 from hickorywing.dispatch import RunState
+from hickorywing.logs import get_logger
 from hickorywing.messages import AgentInfo
 from hickorywing.metrics import Metrics
 from hickorywing.policy.limits import RetryBudget
@@ -321,8 +322,13 @@
                 response = await session.post("/revoke", content=content)
                 body = await read_whole(response)
             answer = msgspec.json.decode(body, type=RevokeAnswer)
-        except Exception:
+        except Exception as error:
             self.metrics.count("revocations_unanswered")
+            get_logger().warning(
+                "revocation unanswered",
+                dispatch=dispatch_id,
+                error=repr(error),
+            )
             return RouteResult(RunState.UNKNOWN, reason=reason)
         if answer.run == RunState.NOT_RUN:
             return RouteResult(
--- a/hickorywing/table.py
+++ b/hickorywing/table.py
@@ -21,6 +21,7 @@
 from hickorywing.commits import Refused
 from hickorywing.commits import Unknown
 from hickorywing.errors import HickorywingError
+from hickorywing.logs import get_logger
 from hickorywing.web import CLIENT_IDLE_S
 
 __all__ = [
@@ -191,7 +192,8 @@
         """Try a transaction once; a lost answer is ``Unknown``."""
         try:
             body = await self._post("/commit", transaction)
-        except Exception:
+        except Exception as error:
+            get_logger().warning("commit unanswered", error=repr(error))
             return Unknown()
         if isinstance(body, int):
             return Refused() if body == 503 else Unknown()
