Log each lost or regained agent, and why an order's outcome is unknown

An agent's silence is logged at its first call and at its end, orders carry the reason to the line that has their outcome, and failed renewals, offers of the role, stops of stray runs and endings that are not known leave a line each. The test of one line each way failed before.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
 from hickorywing.httpclient import CallError
 from hickorywing.httpclient import HttpClient
 from hickorywing.orders import Order
@@ -41,6 +42,7 @@
     epoch: int
     lease_limit_s: float
     may_renew: Callable[[], bool]
+    log: DecisionLog
 
 
 class AgentLink:
@@ -69,6 +71,7 @@
         self._http = http
         self._reported = reported
         self._received_s = 0.0
+        self._silent = False
         self._wake = asyncio.Event()
 
     @staticmethod
@@ -136,12 +139,29 @@
         finally:
             watch.cancel()
             wake.cancel()
-        if report is None:
+        if isinstance(report, str):
+            self._note_silence(report)
             return False
         self._take(report, sent_s)
         return True
 
+    def _note_silence(self, reason: str) -> None:
+        """Log the first call of several that the agent did not answer."""
+        if not self._silent:
+            self._silent = True
+            self._terms.log.write(
+                "agent silent",
+                address=self.address,
+                worker=self.worker,
+                reason=reason,
+            )
+
     def _take(self, report: WorkerReport, sent_s: float) -> None:
+        if self._silent:
+            self._silent = False
+            self._terms.log.write(
+                "agent answers", address=self.address, worker=report.worker
+            )
         if self.report is None or report.worker != self.report.worker:
             self.noted = 0
         self.report = report
@@ -149,7 +169,7 @@
         self._received_s = now_s()
         self._reported(self, report)
 
-    async def _watch(self) -> WorkerReport | None:
+    async def _watch(self) -> WorkerReport | str:
         fresh = self.report is None
         wait_s = BUSY_WATCH_S if self.busy else IDLE_WATCH_S
         order = WatchOrder(
@@ -201,12 +221,14 @@
 
     async def _order(self, call: str, order: Order) -> OrderAnswer:
         answer = await self._call(call, order, ORDER_TIMEOUT_S, OrderAnswer)
-        return answer or OrderAnswer(OrderOutcome.UNKNOWN)
+        if isinstance(answer, OrderAnswer):
+            return answer
+        return OrderAnswer(OrderOutcome.UNKNOWN, reason=answer)
 
     async def _call(
         self, call: str, order: Order, timeout_s: float, answer_type: type
-    ) -> object:
-        """Return the decoded answer, or ``None`` if there is none."""
+    ) -> msgspec.Struct | str:
+        """Return the decoded answer, or why there is none."""
         try:
             answer = await self._http.call(
                 "POST",
@@ -216,7 +238,7 @@
                 content_type=CONTENT_TYPE,
             )
             if answer.status != 200:
-                return None
+                return f"the agent answered {answer.status}"
             return msgspec.msgpack.decode(answer.body, type=answer_type)
-        except (CallError, msgspec.DecodeError):
-            return None
+        except (CallError, msgspec.DecodeError) as error:
+            return str(error)
--- a/hickorywing/explain.py
+++ b/hickorywing/explain.py
@@ -47,11 +47,16 @@
 # Events without a job that explain what happens to jobs.
 CONTEXT_EVENTS = frozenset(
     {
+        "agent answers",
+        "agent silent",
         "commit failed",
         "configuration taken",
         "epoch seen",
         "feed lost its history",
+        "renewal failed",
+        "role handed over",
         "role lost",
+        "role not taken",
         "role released",
         "role taken",
         "started",
--- a/hickorywing/orders.py
+++ b/hickorywing/orders.py
@@ -90,11 +90,14 @@
 
 
 class OrderAnswer(msgspec.Struct, frozen=True):
-    """What became of a start or stop; ``clock_ms`` is the worker's clock."""
+    """What became of a start or stop; ``clock_ms`` is the worker's clock.
+
+    ``reason`` says why the outcome is unknown.
+    """
 
     outcome: OrderOutcome
     clock_ms: int = 0
-    epoch: int = 0
+    reason: str = ""
 
 
 class RunningRun(msgspec.Struct, frozen=True, array_like=True):
--- a/hickorywing/platform/runner.py
+++ b/hickorywing/platform/runner.py
@@ -118,7 +118,10 @@
         wire = WireAnswer()
     if answer.status == 409:
         outcome = REASONS.get(wire.reason)
-    return OrderAnswer(outcome or OrderOutcome.UNKNOWN, wire.clock_ms)
+    if outcome is None:
+        said = f"answered {answer.status} {wire.reason}".rstrip()
+        return OrderAnswer(OrderOutcome.UNKNOWN, wire.clock_ms, said)
+    return OrderAnswer(outcome, wire.clock_ms)
 
 
 def decode_look(answer: HttpAnswer) -> Look:
@@ -176,8 +179,8 @@
                 msgspec.json.encode(body),
                 {INSTANCE_HEADER: name},
             )
-        except CallError:
-            return OrderAnswer(OrderOutcome.UNKNOWN)
+        except CallError as error:
+            return OrderAnswer(OrderOutcome.UNKNOWN, reason=str(error))
         return decode_answer(answer)
 
     async def look(
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -94,7 +94,15 @@
     async def _offer_role(self, epoch: int) -> str:
         """Offer the role to the other entries; return who accepted."""
         offer = RoleOffer(self.pool, epoch)
-        return await offer_role(offer, self._peers, self._http)
+        successor = await offer_role(offer, self._peers, self._http)
+        self._log.write(
+            "role handed over" if successor else "role not taken",
+            pool=self.pool,
+            epoch=epoch,
+            asked=sorted(self._peers.addresses),
+            successor=successor,
+        )
+        return successor
 
     async def _serve(self) -> None:
         """Control the pool for one term."""
@@ -137,7 +145,7 @@
         self._log = log
         self._links: dict[str, tuple[AgentLink, asyncio.Task[None]]] = {}
         self._link_terms = LinkTerms(
-            lease.pool, lease.epoch, terms.lease_limit_s, self._may_renew
+            lease.pool, lease.epoch, terms.lease_limit_s, self._may_renew, log
         )
         self._committer = Committer(lease, store, log)
         self._counts: dict[str, int] = {}
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -256,6 +256,13 @@
             self._recognise(answer, sent_s)
         else:
             self._metrics.count("lease_renewals_failed", pool=self.pool)
+            self._log.write(
+                "renewal failed",
+                pool=self.pool,
+                epoch=self.epoch,
+                outcome=type(answer).__name__.lower(),
+                unconfirmed_s=round(self.unconfirmed_s(), 3),
+            )
             await self._hand_over()
 
     async def _hand_over(self) -> None:
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -360,12 +360,20 @@
             )
             note()
             return
-        ending = read_ending(end.how)
+        ending = self._read_ending(end)
         if item.step.lasting and ending is Ending.DONE:
             ending = Ending.STOPPED
         self._end_member(item.state, item.unit, item.member, ending, end.saved)
         self._store(item.state, note)
 
+    def _read_ending(self, end: EndedRun) -> Ending:
+        """Return how a run ended; what isn't known counts as stopped."""
+        try:
+            return Ending(end.how)
+        except ValueError:
+            self._log.write("ending not known", task=end.task, how=end.how)
+            return Ending.STOPPED
+
     def _note_end(self, link: AgentLink, worker: str, number: int) -> None:
         """Let the worker forget the ends that are stored without a gap."""
         known = self._known.get(worker)
@@ -544,11 +552,3 @@
             step=victim.step, first=victim.first, gives_way_to=unit.job_id,
         )  # fmt: skip
         self._metrics.count("preemptions")
-
-
-def read_ending(how: str) -> Ending:
-    """Return an ending; one that is not known counts as stopped."""
-    try:
-        return Ending(how)
-    except ValueError:
-        return Ending.STOPPED
--- a/hickorywing/runorders.py
+++ b/hickorywing/runorders.py
@@ -118,7 +118,15 @@
         self._log.write("stray run", task=run.task, run=run.run, worker=worker)
 
         async def stop() -> None:
-            await link.stop(worker, run.task, run.run)
+            answer = await link.stop(worker, run.task, run.run)
+            self._log.write(
+                "stray run stopped",
+                task=run.task,
+                run=run.run,
+                worker=worker,
+                outcome=answer.outcome,
+                reason=answer.reason,
+            )
 
         self._spawn(key, stop())
 
@@ -198,5 +206,6 @@
             epoch=self._lease.epoch,
             tries=item.member.tries,
             outcome=answer.outcome,
+            reason=answer.reason,
             stopping=item.unit.stopping,
         )
--- a/hickorywing/workerwatch.py
+++ b/hickorywing/workerwatch.py
@@ -280,7 +280,7 @@
                 epoch=order.epoch,
                 reason=refused,
             )
-            return OrderAnswer(refused, epoch=self.epoch)
+            return OrderAnswer(refused)
         self._busy = True
         answer = await self._worker.start(order, self.announcement.name)
         self._wake.set()
@@ -301,9 +301,9 @@
     async def stop(self, order: StopOrder) -> OrderAnswer:
         """Pass a stop on."""
         if not self._meet_epoch(order.epoch):
-            return OrderAnswer(OrderOutcome.OLD_EPOCH, epoch=self.epoch)
+            return OrderAnswer(OrderOutcome.OLD_EPOCH)
         if self.announcement is None or order.worker != self.key:
-            return OrderAnswer(OrderOutcome.OTHER_WORKER, epoch=self.epoch)
+            return OrderAnswer(OrderOutcome.OTHER_WORKER)
         self._busy = True
         answer = await self._worker.stop(order, self.announcement.name)
         self._wake.set()
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -195,6 +195,20 @@
             assert system.worker(ending).running()
             await system.wait_status(JOB + "0", "completed")
 
+    async def test_silent_agent_is_logged_once_each_way(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
+
+            def count(event: str) -> int:
+                lines = system.log_lines()
+                return sum(line["event"] == event for line in lines)
+
+            system.kill("w0")
+            await system.wait(lambda: count("agent silent") == 1)
+            await asyncio.sleep(1)
+            system.restart("w0")
+            await system.wait(lambda: count("agent answers") == 1)
+            assert count("agent silent") == 1
+
 
 class TestConfiguration:
     """Changes by the operator are followed."""
