--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -14,6 +14,7 @@
 from hickorywing.documents import load_document
 from hickorywing.documents import parse_document
 from hickorywing.errors import InvariantViolation
+from hickorywing.filechecks import check_files
 from hickorywing.inventory import check_inventory
 from hickorywing.inventory import InventoryModel
 from hickorywing.messages import decode_message
@@ -30,7 +31,6 @@
 from hickorywing.table import Refused
 from hickorywing.table import Transaction
 from hickorywing.table import Write
-from hickorywing.ui import check_files
 
 ROOT = Path(__file__).parent.parent
 
