Replace two checks that could not fail

A cancelled job's test looked for a row that only a controller writes, and there was none; it now demands exactly the two rows that an entry writes. The test of unreadable settings asserted nothing; it now demands that the address refuses connections. A third one covers an address that is in use.

--- a/tests/test_jobdesk.py
+++ b/tests/test_jobdesk.py
@@ -6,7 +6,6 @@
 from hickorywing.jobdesk import JobDesk
 from hickorywing.jobdesk import Outcome
 from hickorywing.jobrows import job_key
-from hickorywing.jobrows import progress_key
 from hickorywing.metrics import Metrics
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.standins.rowstore import MemoryRowStore
@@ -113,4 +112,5 @@
         for _ in range(2):
             answer = await desk.cancel("p", "j1", 1.0)
             assert answer.outcome is Outcome.DONE
-        assert progress_key("p", "j1") not in store.rows
+        keys = [key.key for key in store.rows]
+        assert keys == ["job/j1", "cancel/j1"]
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -5,6 +5,7 @@
 import socket
 
 from platformsystem import free_address
+import pytest
 
 from hickorywing.listeners import open_early
 from hickorywing.listeners import open_listener
@@ -23,8 +24,21 @@
             pass
         open_listener(address).close()
 
+    def test_address_in_use_keeps_the_others(self, tmp_path: Path):
+        taken, free = free_address(), free_address()
+        path = tmp_path / "settings.jsonc"
+        path.write_text(json.dumps({"listen": free, "ready": taken}))
+        with open_listener(taken):
+            open_early(path)
+        with socket.create_connection(split_address(free), timeout=1):
+            pass
+        open_listener(free).close()
+
     def test_unreadable_settings_open_nothing(self, tmp_path: Path):
+        address = free_address()
         path = tmp_path / "settings.jsonc"
-        path.write_text("{")
+        path.write_text(f'{{"listen": "{address}"')
         open_early(path)
         open_early(tmp_path / "missing.jsonc")
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(split_address(address), timeout=1)
