Split what a controller does in a term into its parts

What a controller takes from its entry is one class in place of nine arguments written twice. The end of a member takes the member with what it belongs to, in place of three arguments. Left out: a configuration class, a field and a version that nothing read. One behaviour changes: the record of failures of a worker that has left is dropped, as that of one that restarted was already.

--- a/hickorywing/committer.py
+++ b/hickorywing/committer.py
@@ -112,29 +112,29 @@
         }
         values = {key: encode() for key, (encode, _) in batch.items()}
         self._busy_since_s = now_s()
-        version = await self._commit(values)
+        written = await self._commit(values)
         self._busy_since_s = None
-        if version is None:
+        if not written:
             return False
         for _, callbacks in batch.values():
             for stored in callbacks:
                 stored()
         return True
 
-    async def _commit(self, values: dict[RowKey, bytes]) -> int | None:
-        """Write until it is done; ``None`` when the role is lost."""
+    async def _commit(self, values: dict[RowKey, bytes]) -> bool:
+        """Write until it is done; ``False`` when the role is lost."""
         pause_s = RETRY_S
         doubtful = False
         while True:
             answer = await self._store.commit(self._transaction(values))
             if isinstance(answer, Committed):
                 self.versions.update(dict.fromkeys(values, answer.version))
-                return answer.version
+                return True
             if isinstance(answer, Mismatch):
                 if not self._still_ours(answer):
-                    return None
+                    return False
                 if self._adopt(answer, values) and doubtful:
-                    return answer.rows[0].version
+                    return True
                 continue
             doubtful = doubtful or isinstance(answer, Unknown)
             self._log.write(
--- /dev/null
+++ b/hickorywing/livejobs.py
@@ -0,0 +1,227 @@
+"""Keep a pool's jobs, and store what becomes of them."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from hickorywing.clock import now_s
+from hickorywing.committer import Committer
+from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import cancel_key
+from hickorywing.jobrows import encode_progress
+from hickorywing.jobrows import job_key
+from hickorywing.jobrows import progress_key
+from hickorywing.metrics import Metrics
+from hickorywing.policy.poolhealth import WorkerHealth
+from hickorywing.policy.poolmodel import Step
+from hickorywing.policy.poolruns import Ending
+from hickorywing.policy.poolruns import format_task
+from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolruns import Member
+from hickorywing.policy.poolruns import parse_task
+from hickorywing.policy.poolruns import Unit
+
+__all__ = ["LiveJobs", "OpenMember"]
+
+# Bounds the size of one transaction; 15 a sweep are 130,000 jobs a day.
+FORGET_AT_ONCE = 15
+
+
+@dataclass(frozen=True, slots=True)
+class OpenMember:
+    """A member that may be at work, with what it belongs to."""
+
+    state: JobState
+    unit: Unit
+    member: Member
+
+    @property
+    def step(self) -> Step:
+        """Return the step that the task is of."""
+        return self.state.job.steps[self.unit.step]
+
+    @property
+    def task(self) -> str:
+        """Return the task's name as text."""
+        return format_task(self.unit.task(self.member))
+
+
+class LiveJobs:
+    """The jobs of one pool during one term of its controller.
+
+    ``accepted`` holds all that were, ``live`` those that still may have
+    something at work or waiting. ``wake`` is called after each change.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        keep_ended_s: float,
+        committer: Committer,
+        health: WorkerHealth,
+        wake: Callable[[], None],
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self.accepted: dict[str, JobState] = {}
+        self.live: dict[str, JobState] = {}
+        self._pool = pool
+        self._keep_ended_s = keep_ended_s
+        self._committer = committer
+        self._health = health
+        self._wake = wake
+        self._log = log
+        self._metrics = metrics
+        self._cancels: set[str] = set()
+        self._ended_s: dict[str, float] = {}
+        self._unstored_saves: set[str] = set()
+
+    def add(self, state: JobState, restored: bool) -> None:
+        """Take in an accepted job."""
+        job = state.job
+        self.accepted[job.job_id] = state
+        if state.final and not any(state.running_units()):
+            return
+        self.live[job.job_id] = state
+        if job.job_id in self._cancels:
+            self._cancel(state)
+        if not restored:
+            self._log.write(
+                "job seen",
+                job=job.job_id,
+                queue=job.terms.queue,
+                customer=job.customer,
+                version=state.accepted,
+            )
+        self._wake()
+
+    def cancel(self, job_id: str) -> None:
+        """Take in a job's cancelling, which may come before the job."""
+        self._cancels.add(job_id)
+        state = self.live.get(job_id)
+        if state is not None:
+            self._cancel(state)
+
+    def _cancel(self, state: JobState) -> None:
+        if not state.cancelled:
+            state.cancelled = True
+            self._log.write("job cancelled", job=state.job.job_id)
+            self._settle(state)
+
+    def _settle(self, state: JobState) -> None:
+        """Work out a job's status after a change and store it."""
+        if state.update_status():
+            self._log.write(
+                "job status", job=state.job.job_id, status=state.status
+            )
+            self._metrics.count("jobs", status=state.status)
+        if state.final:
+            for unit in state.running_units():
+                unit.stopping = unit.stopping or f"job {state.status}"
+            if not any(state.running_units()):
+                self.live.pop(state.job.job_id, None)
+        self.store(state)
+        self._wake()
+
+    def forget_ended(self) -> None:
+        """Delete the rows of jobs that ended long ago."""
+        now = now_s()
+        ended = []
+        for job_id, state in self.accepted.items():
+            if len(ended) >= FORGET_AT_ONCE:
+                break
+            if not state.final or job_id in self.live:
+                continue
+            since_s = self._ended_s.setdefault(job_id, now)
+            if now - since_s >= self._keep_ended_s:
+                ended.append(job_id)
+        for job_id in ended:
+            del self.accepted[job_id], self._ended_s[job_id]
+            self._cancels.discard(job_id)
+            self._committer.remove(
+                (
+                    job_key(self._pool, job_id),
+                    cancel_key(self._pool, job_id),
+                    progress_key(self._pool, job_id),
+                )
+            )
+        if ended:
+            self._log.write("jobs forgotten", jobs=len(ended))
+
+    def open_members(self) -> Iterator[OpenMember]:
+        """Return what may be at work; it may change meanwhile."""
+        for state in list(self.live.values()):
+            for unit in list(state.running_units()):
+                for member in list(unit.open_members()):
+                    yield OpenMember(state, unit, member)
+
+    def find(self, name: str, run: int, worker: str) -> OpenMember | None:
+        """Return the open member that a worker's list names."""
+        task = parse_task(name)
+        state = None if task is None else self.live.get(task.job_id)
+        unit = None if state is None else state.find_unit(task)
+        member = None if unit is None else unit.find(task.index)
+        if (
+            member is None
+            or unit.run != run
+            or member.worker != worker
+            or member.ending is not None
+        ):
+            return None
+        return OpenMember(state, unit, member)
+
+    def end_member(
+        self, item: OpenMember, ending: Ending, saved: str = ""
+    ) -> None:
+        """Note that a member has ended, and store it."""
+        state, unit, member = item.state, item.unit, item.member
+        unit.end(member, ending, saved)
+        self._note_health(state, member, ending)
+        self._log.write(
+            "run ended",
+            task=item.task,
+            run=unit.run,
+            worker=member.worker,
+            how=ending,
+            stopping=unit.stopping,
+        )
+        self._metrics.count("runs_ended", how=ending)
+        if not unit.running and not unit.done:
+            unit.waiting_since_s = now_s()
+        self._settle(state)
+
+    def _note_health(
+        self, state: JobState, member: Member, ending: Ending
+    ) -> None:
+        """Learn from an ending how good its worker is."""
+        worker = member.worker
+        if ending is Ending.DONE:
+            self._health.note_done(worker, now_s())
+        elif ending is Ending.FAILED:
+            was_bad = self._health.is_bad(worker, now_s())
+            state.note_failed(worker, now_s())
+            self._health.note_failed(worker, state.job.job_id, now_s())
+            if self._health.is_bad(worker, now_s()) and not was_bad:
+                self._log.write("worker set aside", worker=worker)
+
+    def note_save(self, item: OpenMember, saved: str) -> None:
+        """Take in what a running member has saved."""
+        if saved and saved != item.unit.saved:
+            item.unit.saved = saved
+            self._unstored_saves.add(item.state.job.job_id)
+
+    def store_saves(self) -> None:
+        """Store the newest saves, so that a loss of all VMs keeps them."""
+        for job_id in self._unstored_saves & self.live.keys():
+            self.store(self.live[job_id])
+        self._unstored_saves.clear()
+
+    def store(
+        self, state: JobState, stored: Callable[[], None] | None = None
+    ) -> None:
+        """Have a job's progress stored; ``stored`` is called afterwards."""
+        self._committer.put(
+            progress_key(self._pool, state.job.job_id),
+            lambda: encode_progress(state),
+            stored,
+        )
--- a/hickorywing/policy/poolmodel.py
+++ b/hickorywing/policy/poolmodel.py
@@ -5,11 +5,9 @@
 """
 
 from dataclasses import dataclass
-from dataclasses import field
 
 __all__ = [
     "Customer",
-    "PoolConfiguration",
     "PoolJob",
     "QueueTerms",
     "Resources",
@@ -141,15 +139,6 @@
     guaranteed_accelerators: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class PoolConfiguration:
-    """What a pool's decisions need of the configuration."""
-
-    version: int = 0
-    zones_out: frozenset[str] = frozenset()
-    guarantees: dict[str, int] = field(default_factory=dict)
-
-
 def vm_of(worker: str) -> str:
     """Return the VM in an incarnation's name, ``VM/NAME@BORN``."""
     return worker.partition("/")[0]
--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -50,7 +50,6 @@
     step: Step
     priority: int
     order: tuple[float, ...]
-    customer: str = ""
     avoid: frozenset[str] = frozenset()
 
 
@@ -281,9 +280,7 @@
             if worker not in shunned
         ]
         groups = group_workers(waiting.step, allowed, self._state.workers)
-        size = waiting.unit.count
-        groups = [group for group in groups if group]
-        return groups if groups and size else [allowed]
+        return [group for group in groups if group] or [allowed]
 
     def _stop(self, victim: RunningUnit, unit: Unit) -> None:
         self._stopped.add(victim.unit.key)
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from dataclasses import dataclass
 import time
 
 import msgspec
@@ -43,7 +44,7 @@
 from hickorywing.runcontrol import ControllerTerms
 from hickorywing.runcontrol import RunControl
 
-__all__ = ["PoolController"]
+__all__ = ["ControllerParts", "PoolController"]
 
 RETRY_S = 0.2
 FEED_WAIT_S = 2.0
@@ -60,32 +61,34 @@
 SETTLE_S = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class ControllerParts:
+    """What an entry shares with the controllers of all its pools."""
+
+    name: str
+    store: RowStore
+    http: HttpClient
+    view: ConfigurationView
+    terms: ControllerTerms
+    log: DecisionLog
+    metrics: Metrics
+    peers: PeerBook
+
+
 class PoolController:
     """One candidate for a pool's controller, and the controller itself."""
 
-    def __init__(
-        self,
-        pool: str,
-        name: str,
-        store: RowStore,
-        http: HttpClient,
-        view: ConfigurationView,
-        terms: ControllerTerms,
-        log: DecisionLog,
-        metrics: Metrics,
-        peers: PeerBook,
-    ) -> None:
+    def __init__(self, pool: str, parts: ControllerParts) -> None:
         self.pool = pool
         self.lease = PoolLease(
-            pool, name, store, log, metrics, self._offer_role
+            pool,
+            parts.name,
+            parts.store,
+            parts.log,
+            parts.metrics,
+            self._offer_role,
         )
-        self._peers = peers
-        self._store = store
-        self._http = http
-        self._view = view
-        self._terms = terms
-        self._log = log
-        self._metrics = metrics
+        self._parts = parts
 
     async def run(self) -> None:
         """Compete for the pool and control it until cancelled."""
@@ -94,71 +97,53 @@
     async def _offer_role(self, epoch: int) -> str:
         """Offer the role to the other entries; return who accepted."""
         offer = RoleOffer(self.pool, epoch)
-        successor = await offer_role(offer, self._peers, self._http)
-        self._log.write(
+        successor = await offer_role(
+            offer, self._parts.peers, self._parts.http
+        )
+        self._parts.log.write(
             "role handed over" if successor else "role not taken",
             pool=self.pool,
             epoch=epoch,
-            asked=sorted(self._peers.addresses),
+            asked=sorted(self._parts.peers.addresses),
             successor=successor,
         )
         return successor
 
     async def _serve(self) -> None:
         """Control the pool for one term."""
-        refreshing = asyncio.ensure_future(self._peers.refresh())
+        refreshing = asyncio.ensure_future(self._parts.peers.refresh())
         try:
-            await self._run_term()
+            await Term(self.lease, self._parts).run()
         finally:
             refreshing.cancel()
 
-    async def _run_term(self) -> None:
-        term = Term(
-            self.lease,
-            self._store,
-            self._http,
-            self._view,
-            self._terms,
-            self._log,
-            self._metrics,
-        )
-        await term.run()
-
 
 class Term:
     """The controller's state during one term of its lease."""
 
-    def __init__(
-        self,
-        lease: PoolLease,
-        store: RowStore,
-        http: HttpClient,
-        view: ConfigurationView,
-        terms: ControllerTerms,
-        log: DecisionLog,
-        metrics: Metrics,
-    ) -> None:
+    def __init__(self, lease: PoolLease, parts: ControllerParts) -> None:
+        terms, log = parts.terms, parts.log
         self._pool = lease.pool
         self._lease = lease
-        self._store = store
-        self._http = http
+        self._store = parts.store
+        self._http = parts.http
         self._log = log
         self._links: dict[str, tuple[AgentLink, asyncio.Task[None]]] = {}
         self._link_terms = LinkTerms(
             lease.pool, lease.epoch, terms.lease_limit_s, self._may_renew, log
         )
-        self._committer = Committer(lease, store, log)
+        self._committer = Committer(lease, parts.store, log)
         self._counts: dict[str, int] = {}
         self._began_s = now_s()
         self._agents_read = False
         self._runs = RunControl(
             lease,
-            view,
+            parts.view,
             terms,
             self._committer,
             self._is_settled,
             log,
-            metrics,
+            parts.metrics,
         )
 
     def _is_settled(self) -> bool:
@@ -222,7 +207,7 @@
                 "jobs loaded",
                 pool=self._pool,
                 epoch=self._lease.epoch,
-                jobs=len(self._runs.jobs),
+                jobs=len(self._runs.jobs.accepted),
                 version=requests.version,
             )
             return requests.version
@@ -273,9 +258,9 @@
             return
         job_id, is_job = split_request_key(row.key.key)
         if not is_job:
-            self._runs.cancel(job_id)
+            self._runs.jobs.cancel(job_id)
             return
-        if job_id in self._runs.jobs:
+        if job_id in self._runs.jobs.accepted:
             return
         try:
             job = decode_job(row.value)
@@ -286,7 +271,7 @@
         stored = None if progress is None else progress.get(job_id)
         if stored is not None and stored.value is not None:
             restore_progress(state, stored.value)
-        self._runs.add(state, restored=progress is not None)
+        self._runs.jobs.add(state, restored=progress is not None)
 
     async def _follow_agents(self) -> None:
         """Keep a link to each agent of the pool."""
@@ -314,7 +299,10 @@
                 return
             present[1].cancel()
         link = AgentLink(
-            agent.address, self._link_terms, self._http, self._runs.take_report
+            agent.address,
+            self._link_terms,
+            self._http,
+            self._runs.reports.take,
         )
         self._links[name] = (link, asyncio.ensure_future(link.run()))
         self._log.write("agent found", agent=name, address=agent.address)
@@ -330,13 +318,13 @@
                 self._publish_counts()
             if now_s() - swept_s >= SWEEP_EVERY_S:
                 swept_s = now_s()
-                self._runs.forget_ended()
+                self._runs.jobs.forget_ended()
             await asyncio.sleep(TICK_S)
 
     def _publish_counts(self) -> None:
         """Store how many jobs of each queue have not begun."""
         counts = dict.fromkeys(self._counts, 0)
-        for state in self._runs.jobs.values():
+        for state in self._runs.jobs.accepted.values():
             if state.status is JobStatus.PENDING and not state.job.occurrences:
                 queue = state.job.terms.queue
                 counts[queue] = counts.get(queue, 0) + 1
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -26,6 +26,7 @@
 from hickorywing.platform.store import PlatformStore
 from hickorywing.policy.poolprogress import ProgressTerms
 from hickorywing.poolconfig import ConfigurationView
+from hickorywing.poolcontroller import ControllerParts
 from hickorywing.poolcontroller import PoolController
 from hickorywing.poollease import read_holder_epoch
 from hickorywing.program import cancel_tasks
@@ -176,19 +177,19 @@
                 self._settings.save_s, self._settings.restore_s
             ),
         )
+        parts = ControllerParts(
+            self._settings.name,
+            store,
+            http,
+            self._view,
+            terms,
+            self._log,
+            self._metrics,
+            self._peers,
+        )
         while True:
             for pool in self._view.pools() - self._controllers.keys():
-                controller = PoolController(
-                    pool,
-                    self._settings.name,
-                    store,
-                    http,
-                    self._view,
-                    terms,
-                    self._log,
-                    self._metrics,
-                    self._peers,
-                )
+                controller = PoolController(pool, parts)
                 task = guard_task(controller.run(), self._report)
                 self._controllers[pool] = (controller, task)
             await asyncio.sleep(POOLS_EVERY_S)
--- a/hickorywing/runorders.py
+++ b/hickorywing/runorders.py
@@ -9,24 +9,20 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from hickorywing.agentlink import AgentLink
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
+from hickorywing.livejobs import OpenMember
 from hickorywing.metrics import Metrics
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
 from hickorywing.orders import RunningRun
-from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolruns import Ending
-from hickorywing.policy.poolruns import format_task
-from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import Member
-from hickorywing.policy.poolruns import Unit
 from hickorywing.poollease import PoolLease
 
-__all__ = ["OpenMember", "RunOrders"]
+__all__ = ["RunOrders"]
 
 # Longer than one order's time limit, so that each start is tried twice.
 START_PATIENCE_S = 1.5
@@ -36,26 +32,7 @@
 # A run that is still listed this long after its stop is stopped again.
 STOP_REPEAT_MS = 1000
 
-EndMember = Callable[[JobState, Unit, Member, Ending], None]
-
-
-@dataclass(frozen=True, slots=True)
-class OpenMember:
-    """A member that may be at work, with what it belongs to."""
-
-    state: JobState
-    unit: Unit
-    member: Member
-
-    @property
-    def step(self) -> Step:
-        """Return the step that the task is of."""
-        return self.state.job.steps[self.unit.step]
-
-    @property
-    def task(self) -> str:
-        """Return the task's name as text."""
-        return format_task(self.unit.task(self.member))
+EndMember = Callable[[OpenMember, Ending], None]
 
 
 class RunOrders:
@@ -183,7 +160,7 @@
         self._distrusted[member.worker] = now_s() + DISTRUST_S
         self._metrics.count("starts_rejected", reason=answer.outcome)
         if member.tries == 1:
-            self._end_member(item.state, unit, member, Ending.REJECTED)
+            self._end_member(item, Ending.REJECTED)
         unit.stopping = unit.stopping or f"start rejected: {answer.outcome}"
 
     async def _stop(self, item: OpenMember, link: AgentLink) -> None:
--- a/hickorywing/runplanning.py
+++ b/hickorywing/runplanning.py
@@ -8,6 +8,7 @@
 
 from hickorywing.agentlink import AgentLink
 from hickorywing.clock import now_s
+from hickorywing.livejobs import OpenMember
 from hickorywing.policy.poolguarantees import find_covered
 from hickorywing.policy.poolguarantees import rank_priority
 from hickorywing.policy.poolhealth import WorkerHealth
@@ -24,7 +25,6 @@
 from hickorywing.policy.poolroom import PoolRoom
 from hickorywing.policy.poolruns import JobState
 from hickorywing.poolconfig import ConfigurationView
-from hickorywing.runorders import OpenMember
 from hickorywing.runorders import RunOrders
 
 __all__ = ["RunPlanning"]
@@ -91,7 +91,6 @@
                     state.job.steps[unit.step],
                     priority,
                     (float(state.accepted), unit.occurrence, unit.first),
-                    state.job.customer,
                     state.list_failed_on(now_s()),
                 )
 
--- /dev/null
+++ b/hickorywing/runreports.py
@@ -0,0 +1,252 @@
+"""Take in what agents report of a pool's workers."""
+
+from collections.abc import Callable
+
+from hickorywing.agentlink import AgentLink
+from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
+from hickorywing.knownworker import KnownWorker
+from hickorywing.livejobs import LiveJobs
+from hickorywing.livejobs import OpenMember
+from hickorywing.metrics import Metrics
+from hickorywing.orders import EndedRun
+from hickorywing.orders import RunningRun
+from hickorywing.orders import WorkerReport
+from hickorywing.policy.pooldrains import should_move
+from hickorywing.policy.poolhealth import WorkerHealth
+from hickorywing.policy.poolmodel import name_of
+from hickorywing.policy.poolmodel import vm_of
+from hickorywing.policy.poolprogress import estimate_lost_s
+from hickorywing.policy.poolprogress import ProgressTerms
+from hickorywing.policy.poolruns import Ending
+from hickorywing.policy.poolstalls import is_stalled
+from hickorywing.poollease import PoolLease
+from hickorywing.runorders import RunOrders
+
+__all__ = ["RunReports"]
+
+
+class RunReports:
+    """Compares what the workers list with what the jobs should have there.
+
+    ``workers`` maps each present incarnation to its link; planning and orders
+    read it.
+    """
+
+    def __init__(
+        self,
+        lease: PoolLease,
+        workers: dict[str, AgentLink],
+        jobs: LiveJobs,
+        orders: RunOrders,
+        health: WorkerHealth,
+        progress: ProgressTerms,
+        wake: Callable[[], None],
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self._lease = lease
+        self._workers = workers
+        self._jobs = jobs
+        self._orders = orders
+        self._health = health
+        self._progress = progress
+        self._wake = wake
+        self._log = log
+        self._metrics = metrics
+        self._known: dict[str, KnownWorker] = {}
+
+    def take(self, link: AgentLink, report: WorkerReport) -> None:
+        """Take in what an agent reports of its worker."""
+        if report.epoch > self._lease.epoch:
+            self._lease.surrender(f"an agent has heard epoch {report.epoch}")
+            return
+        if report.left in self._workers:
+            self._forget_worker(report.left)
+        if not report.worker:
+            return
+        if self._workers.get(report.worker) is not link:
+            self._meet_worker(link, report)
+        for end in report.ended:
+            self._take_end(link, report, end)
+        if self._known[report.worker].is_new_look(report):
+            self._take_running(link, report)
+        if report.draining:
+            self._move_runs(report)
+        link.set_busy(self._is_busy(link))
+        self._wake()
+
+    def _move_runs(self, report: WorkerReport) -> None:
+        """Stop the runs that can't end before their worker may leave."""
+        now = now_s()
+        leaves_s = self._known[report.worker].find_leaving_s(report, now)
+        for item in self._jobs.open_members():
+            unit = item.unit
+            if item.member.worker != report.worker or unit.stopping:
+                continue
+            if should_move(unit, item.step, now, leaves_s):
+                unit.stopping = "its worker leaves"
+                self._log.write(
+                    "run moved",
+                    task=item.task,
+                    run=unit.run,
+                    worker=report.worker,
+                    percent=item.member.percent,
+                    leaves_in_s=round(leaves_s - now, 2),
+                )
+                self._metrics.count("runs_moved")
+
+    def _is_busy(self, link: AgentLink) -> bool:
+        """Tell whether the worker has to be looked at."""
+        known = self._known.get(link.worker)
+        if known is not None and known.ends:
+            return True
+        return any(
+            item.member.worker == link.worker
+            for item in self._jobs.open_members()
+        )
+
+    def _forget_worker(self, worker: str) -> None:
+        """Take in that a worker has left; what ran on it is lost."""
+        self._log.write("worker left", worker=worker)
+        self._drop(worker)
+        for item in list(self._jobs.open_members()):
+            if item.member.worker == worker:
+                self._jobs.end_member(item, Ending.LOST)
+
+    def _drop(self, worker: str) -> None:
+        """Forget all that is known of an incarnation that is over."""
+        del self._workers[worker]
+        del self._known[worker]
+        self._health.forget(worker)
+
+    def _meet_worker(self, link: AgentLink, report: WorkerReport) -> None:
+        """Take in a new incarnation; what ran on earlier ones is lost."""
+        vm = vm_of(report.worker)
+        gone = [name for name in self._workers if vm_of(name) == vm]
+        for worker in gone:
+            self._drop(worker)
+        self._workers[report.worker] = link
+        self._known[report.worker] = KnownWorker()
+        self._log.write(
+            "worker found",
+            worker=report.worker,
+            replaces=gone,
+            zone=report.zone,
+            accelerators=report.capacity.accelerators,
+            epoch=self._lease.epoch,
+        )
+        for item in list(self._jobs.open_members()):
+            worker = item.member.worker
+            if vm_of(worker) == vm and worker != report.worker:
+                self._lose_member(item, report.worker)
+
+    def _lose_member(self, item: OpenMember, successor: str) -> None:
+        """End a member whose worker has a new incarnation.
+
+        A worker that restarted under its old name may still carry out a
+        start order that was meant for its last incarnation, so the run is
+        stopped there first.
+        """
+        unit, member = item.unit, item.member
+        if name_of(member.worker) == name_of(successor):
+            member.worker = successor
+            # A stop was confirmed by the clock of the last incarnation.
+            member.stopped_ms = None
+            unit.stopping = unit.stopping or "the worker has restarted"
+        else:
+            self._jobs.end_member(item, Ending.LOST)
+
+    def _take_end(
+        self, link: AgentLink, report: WorkerReport, end: EndedRun
+    ) -> None:
+        if not self._known[report.worker].is_new_end(end):
+            return
+
+        def note() -> None:
+            self._note_end(link, report.worker, end.number)
+
+        item = self._jobs.find(end.task, end.run, report.worker)
+        if item is None:
+            self._log.write(
+                "end of another run", task=end.task, run=end.run, how=end.how
+            )
+            note()
+            return
+        ending = self._read_ending(end)
+        if item.step.lasting and ending is Ending.DONE:
+            ending = Ending.STOPPED
+        self._jobs.end_member(item, ending, end.saved)
+        self._jobs.store(item.state, note)
+
+    def _read_ending(self, end: EndedRun) -> Ending:
+        """Return how a run ended; what isn't known counts as stopped."""
+        try:
+            return Ending(end.how)
+        except ValueError:
+            self._log.write("ending not known", task=end.task, how=end.how)
+            return Ending.STOPPED
+
+    def _note_end(self, link: AgentLink, worker: str, number: int) -> None:
+        """Let the worker forget the ends that are stored without a gap."""
+        known = self._known.get(worker)
+        if known is not None and link.worker == worker:
+            link.note(known.store_end(number))
+
+    def _take_running(self, link: AgentLink, report: WorkerReport) -> None:
+        """Compare the runs that a worker lists with what should be there."""
+        listed = {(item.task, item.run) for item in report.running}
+        for run in report.running:
+            item = self._jobs.find(run.task, run.run, report.worker)
+            if item is None:
+                self._orders.stop_stray(link, report.worker, run)
+            else:
+                self._take_listed(item, run, report)
+        for item in list(self._jobs.open_members()):
+            if item.member.worker != report.worker:
+                continue
+            if (item.task, item.unit.run) not in listed:
+                self._take_absent(item, report)
+
+    def _take_listed(
+        self, item: OpenMember, run: RunningRun, report: WorkerReport
+    ) -> None:
+        member = item.member
+        if not member.seen:
+            member.seen = True
+            self._metrics.observe(
+                "start_to_running_seconds", now_s() - item.unit.placed_at_s
+            )
+        # The lists are from the agent's last look.
+        looked_ago_s = max(0, report.clock_ms - report.looked_ms) / 1000
+        member.note_percent(run.percent, now_s() - looked_ago_s)
+        self._jobs.note_save(item, run.saved)
+        self._orders.check_stop(member, report.looked_ms)
+        self._check_stall(item)
+
+    def _check_stall(self, item: OpenMember) -> None:
+        """Stop a run that stands still, so that it is placed elsewhere."""
+        unit, now = item.unit, now_s()
+        lost_s = estimate_lost_s(unit, item.step, now, self._progress)
+        if unit.stopping or not is_stalled(
+            unit, item.member, item.step, now, lost_s
+        ):
+            return
+        unit.stopping = "stands still"
+        unit.stalls += 1
+        item.state.note_failed(item.member.worker, now)
+        self._log.write(
+            "run stalled",
+            task=item.task,
+            run=unit.run,
+            worker=item.member.worker,
+            percent=item.member.percent,
+            since_s=round(now - item.member.percent_at_s, 1),
+        )
+        self._metrics.count("runs_stalled")
+
+    def _take_absent(self, item: OpenMember, report: WorkerReport) -> None:
+        """End a member that was stopped before it was there."""
+        stopped_ms = item.member.stopped_ms
+        if stopped_ms is not None and report.looked_ms > stopped_ms:
+            self._jobs.end_member(item, Ending.STOPPED)
--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -77,7 +77,6 @@
         self._zone = zone
         self._agent = agent
         self._capacity = {"cpu": 64_000, "mem-mb": 65_536, "gpu": gpu}
-        self._gpu = gpu
         self._restart()
 
     def _restart(self) -> None:
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -80,7 +80,6 @@
                 state.job.steps[unit.step],
                 rank_priority(state, covered),
                 (float(state.accepted),),
-                state.job.customer,
                 state.list_failed_on(self.now_s),
             )
             for state in self.jobs.values()
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -91,7 +91,7 @@
         job = make_job(job_id)
         version = self.store.put(job_key("p", job_id), encode_job(job))
         state = JobState(job, version, 0.0)
-        self.runs.add(state, restored=False)
+        self.runs.jobs.add(state, restored=False)
         return state
 
     async def wait(self, check) -> None:
@@ -109,7 +109,7 @@
         async with Control() as control:
             control.store.plan_faults(StoreFault.LOST_AFTER)
             control.accept("j1")
-            control.runs.cancel("j1")
+            control.runs.jobs.cancel("j1")
             key = progress_key("p", "j1")
             await control.wait(lambda: key in control.store.rows)
             await control.wait(lambda: control.committer.stuck_s() == 0)
@@ -121,7 +121,7 @@
         async with Control() as control:
             control.store.plan_faults(StoreFault.LATE)
             control.accept("j1")
-            control.runs.cancel("j1")
+            control.runs.jobs.cancel("j1")
             key = progress_key("p", "j1")
             await control.wait(lambda: key in control.store.rows)
             before = control.store.rows[key]
@@ -132,7 +132,7 @@
         async with Control() as control:
             control.store.put(epoch_key("p"), b"\x02")
             control.accept("j1")
-            control.runs.cancel("j1")
+            control.runs.jobs.cancel("j1")
             await control.wait(control.task.done)
             assert progress_key("p", "j1") not in control.store.rows
 
@@ -141,17 +141,17 @@
             control.accept("j1")
             control.accept("j2")
             control.store.put(cancel_key("p", "j1"), b"")
-            control.runs.cancel("j1")
+            control.runs.jobs.cancel("j1")
             await control.wait(
                 lambda: progress_key("p", "j1") in control.store.rows
             )
-            control.runs.forget_ended()
+            control.runs.jobs.forget_ended()
             await control.wait(
                 lambda: job_key("p", "j1") not in control.store.rows
             )
             left = {key.key for key in control.store.rows}
             assert left == {"epoch", "job/j2"}
-            assert set(control.runs.jobs) == {"j2"}
+            assert set(control.runs.jobs.accepted) == {"j2"}
 
 
 class TestRestartedWorker:
@@ -163,12 +163,12 @@
         unit.place([worker], 0.0)
         unit.committed = True
         unit.members[0].seen = True
-        control.runs.add(state, restored=True)
+        control.runs.jobs.add(state, restored=True)
         return state
 
     def report(self, control: Control, link: FakeLink, looked_ms: int) -> None:
         link.now_ms = looked_ms
-        control.runs.take_report(
+        control.runs.reports.take(
             link,
             WorkerReport(
                 worker=link.worker, clock_ms=looked_ms, looked_ms=looked_ms
