Read bodies with the client that doesn't lose them

The event loop holds tasks weakly, and between head and body the task, the connection and its reader refer only to each other, so a garbage collection ends the task and the body never comes. The reader of the answer then waits for ever; under a time limit the outcome becomes unknown although the answer arrived. The hanging test showed just that: a head, no body, an idle entry. Shown without the system by a collection between head and body: "Task was destroyed but it is pending", and a hang.

Ruled out: the entry's and agent's listeners (a head and a body sent apart reach the client that the pools use), load (the repetition needs none).

Change: the router, the dispatcher, the table, the workers and the time line use the pools' HTTP client; the client for callers already did. Its errors tell a call that was never sent and one out of time from the rest, which the router's "not run" needs. Whole answers are checked by the library, so the own check goes.

--- a/hickorywing/agent.py
+++ b/hickorywing/agent.py
@@ -327,6 +327,7 @@
         await cancel_tasks(tasks)
         await web.stop()
         self.mailbox.close()
+        await self.dispatches.close()
         await self.table.close()
 
     async def _run_controller(self) -> None:
--- a/hickorywing/client.py
+++ b/hickorywing/client.py
@@ -53,7 +53,7 @@
     def __init__(self, entry: str, token: str) -> None:
         self.entry = entry.rstrip("/")
         self.token = token
-        self._http: HttpClient | None = None
+        self._http = HttpClient()
 
     async def call(
         self,
@@ -63,9 +63,6 @@
         headers: dict[str, str] | None = None,
     ) -> Answer:
         """Send one request, once; raise ``NotReachable``."""
-        if self._http is None:
-            # Made here, since its connections belong to the running loop.
-            self._http = HttpClient()
         sent = dict(headers or {})
         if self.token:
             sent["Authorization"] = f"Bearer {self.token}"
@@ -82,5 +79,4 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._http is not None:
-            await self._http.close()
+        await self._http.close()
--- a/hickorywing/dispatch.py
+++ b/hickorywing/dispatch.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 import enum
 
@@ -14,16 +15,19 @@
 from blacksheep import Headers
 from blacksheep import Request
 from blacksheep import Response
-from blacksheep.client import ClientSession
 import msgspec
 
-from hickorywing.errors import HickorywingError
+from hickorywing.httpclient import CallError
+from hickorywing.httpclient import CallTimeout
+from hickorywing.httpclient import ConnectError
+from hickorywing.httpclient import HttpAnswer
+from hickorywing.httpclient import HttpClient
+from hickorywing.logs import get_logger
 from hickorywing.metrics import Metrics
 from hickorywing.policy.claims import Admission
 from hickorywing.policy.claims import AdmissionBook
 from hickorywing.policy.limits import WaitQueue
 from hickorywing.web import answer_problem
-from hickorywing.web import CLIENT_IDLE_S
 from hickorywing.web import find_header
 from hickorywing.web import Problem
 
@@ -33,9 +37,9 @@
     "RevokeAnswer",
     "RevokeRequest",
     "RunState",
-    "TruncatedAnswer",
+    "decode_headers",
+    "encode_headers",
     "hop_headers",
-    "read_whole",
 ]
 
 HOP_HEADERS = frozenset(
@@ -56,6 +60,9 @@
     ]
 )
 HEADER_PREFIX = b"hw-"
+BYTES_TYPE = "application/octet-stream"
+# The HTTP client's own codec, so that bytes pass unchanged.
+HEADER_CODEC = ("utf-8", "surrogateescape")
 
 
 class DispatchHeader:
@@ -93,10 +100,6 @@
     run: str
 
 
-class TruncatedAnswer(HickorywingError):  # noqa: N818
-    """Reports a body shorter or longer than its header says."""
-
-
 @dataclass(slots=True)
 class Waiting:
     """An admitted dispatch that waits for a slot."""
@@ -104,7 +107,9 @@
     granted: asyncio.Future[bool]
 
 
-def hop_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+def hop_headers(
+    headers: Headers | Iterable[tuple[bytes, bytes]],
+) -> list[tuple[bytes, bytes]]:
     """Return the headers that may be passed on."""
     return [
         (name, value)
@@ -114,13 +119,32 @@
     ]
 
 
-async def read_whole(response: Response) -> bytes:
-    """Return a whole body; raise ``TruncatedAnswer`` when it is not."""
-    body = await response.read() or b""
-    declared = response.headers.get_first(b"content-length")
-    if declared is not None and int(declared) != len(body):
-        raise TruncatedAnswer(f"{len(body)} of {int(declared)} bytes")
-    return body
+def encode_headers(answer: HttpAnswer) -> list[tuple[bytes, bytes]]:
+    """Return an answer's headers as the listeners' library has them."""
+    return [
+        (name.encode(*HEADER_CODEC), value.encode(*HEADER_CODEC))
+        for name, value in answer.headers.items()
+    ]
+
+
+def decode_headers(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> list[tuple[str, str]]:
+    """Return headers as the HTTP client takes them."""
+    return [
+        (name.decode(*HEADER_CODEC), value.decode(*HEADER_CODEC))
+        for name, value in headers
+    ]
+
+
+def pass_on(answer: HttpAnswer) -> Response:
+    """Return a backend server's answer for the entry that asked."""
+    kind = answer.headers.get("content-type", BYTES_TYPE)
+    return Response(
+        answer.status,
+        hop_headers(encode_headers(answer)),
+        Content(kind.encode("latin-1"), answer.body),
+    )
 
 
 class DispatchServer:
@@ -141,7 +165,7 @@
         self.config_version = config_version
         self.queue = WaitQueue(book.slots, book.connections - book.slots)
         self._waiting: dict[str, Waiting] = {}
-        self._session: ClientSession | None = None
+        self._http = HttpClient()
         self._backend_url = ""
         self._idle = asyncio.Event()
         self._idle.set()
@@ -149,15 +173,6 @@
     def set_backend(self, url: str) -> None:
         """Use the backend server at a URL."""
         self._backend_url = url.rstrip("/")
-        self._session = ClientSession(
-            http2=False,
-            max_connection_retries=0,
-            idle_timeout=CLIENT_IDLE_S,
-            follow_redirects=False,
-            cookie_jar=False,
-            connection_timeout=1.0,
-            request_timeout=600.0,
-        )
 
     async def serve(self, request: Request) -> Response:
         """Answer one dispatch."""
@@ -168,7 +183,7 @@
             self.metrics.count("dispatches_malformed")
             return self._refuse("malformed dispatch", None)
         refusal = self.refuses()
-        if refusal or self._session is None:
+        if refusal or not self._backend_url:
             self.metrics.count("dispatches_refused")
             return self._refuse(refusal or "no backend server", 1.0)
         admission = self.book.admit(dispatch_id, int(incarnation))
@@ -258,32 +273,30 @@
         headers = request.headers
         method = find_header(headers, DispatchHeader.METHOD) or "GET"
         path = find_header(headers, DispatchHeader.PATH) or "/"
-        url = f"{self._backend_url}{path}".encode()
-        outgoing = Request(method, url, hop_headers(headers))
-        kind = headers.get_first(b"content-type")
-        if body or kind is not None:
-            content = Content(kind or b"application/octet-stream", body)
-            outgoing = outgoing.with_content(content)
+        kind = find_header(headers, b"content-type")
         try:
-            async with asyncio.timeout(deadline_s):
-                answer = await self._session.send(outgoing)
-                whole = await read_whole(answer)
-        except TimeoutError:
+            answer = await self._http.call(
+                method,
+                f"{self._backend_url}{path}",
+                deadline_s,
+                body if body or kind is not None else None,
+                decode_headers(hop_headers(headers)),
+                kind or BYTES_TYPE,
+            )
+        except CallTimeout:
             self.metrics.count("dispatches_timed_out")
             return self._answer(Response(504), RunState.UNKNOWN, "timeout")
-        except ConnectionRefusedError:
+        except ConnectError:
             self.metrics.count("backend_refused_connection")
             return self._refuse("backend server not reachable", 1.0)
-        except Exception as error:
+        except CallError as error:
             self.metrics.count("backend_answers_broken")
+            get_logger().warning("backend answer lost", error=str(error))
             return self._answer(
-                Response(502), RunState.UNKNOWN, type(error).__name__
+                Response(502), RunState.UNKNOWN, "answer of backend lost"
             )
         self.metrics.count("dispatches_done")
-        kind = answer.headers.get_first(b"content-type")
-        content = Content(kind or b"application/octet-stream", whole)
-        passed = Response(answer.status, hop_headers(answer.headers), content)
-        return self._answer(passed, RunState.DONE, "")
+        return self._answer(pass_on(answer), RunState.DONE, "")
 
     def _answer(
         self, response: Response, run: RunState, reason: str
@@ -310,3 +323,7 @@
         """Refuse new dispatches; return when none is in progress."""
         self.book.leaving = True
         await self._idle.wait()
+
+    async def close(self) -> None:
+        """Close the connections to the backend server."""
+        await self._http.close()
--- a/hickorywing/entry.py
+++ b/hickorywing/entry.py
@@ -16,7 +16,6 @@
 from blacksheep import Content
 from blacksheep import Request
 from blacksheep import Response
-from blacksheep.client import ClientSession
 import cappa
 import msgspec
 
@@ -30,6 +29,8 @@
 from hickorywing.filters import install_filters
 from hickorywing.filters import LimitFilter
 from hickorywing.filters import Role
+from hickorywing.httpclient import CallError
+from hickorywing.httpclient import HttpClient
 from hickorywing.jobapi import forbid
 from hickorywing.jobapi import JobApi
 from hickorywing.keyed import KeyedRequests
@@ -69,7 +70,6 @@
 from hickorywing.timeline import Timeline
 from hickorywing.web import add_route
 from hickorywing.web import answer_json
-from hickorywing.web import CLIENT_IDLE_S
 from hickorywing.web import find_header
 from hickorywing.web import WebServer
 
@@ -139,11 +139,13 @@
         self._controller_heard: dict[str, float] = {}
         self._checkers: dict[tuple[int, int], dict[str, ZoneScheduler]] = {}
         self.leaving = False
+        self.http = HttpClient()
         self.router = RequestRouter(
             settings.zone,
             self.metrics,
             self.clock,
             random.Random(self.incarnation),
+            self.http,
         )
         self.keyed = KeyedRequests(
             f"{settings.name}#{self.incarnation}",
@@ -298,29 +300,21 @@
 
     async def _gather(self, info: AgentInfo, token: str) -> list[Event]:
         path = "/v1/events" if info.role == "entry" else "/timeline"
-        session = ClientSession(
-            base_url=f"http://{info.http}",
-            http2=False,
-            max_connection_retries=0,
-            idle_timeout=CLIENT_IDLE_S,
-        )
         try:
-            async with asyncio.timeout(GATHER_TIMEOUT_S):
-                response = await session.get(
-                    path, headers={"Authorization": token}
-                )
-                body = await response.read() or b"[]"
-            return msgspec.json.decode(body, type=list[Event])
-        except Exception as error:
-            # The library's errors share no base. One process that can't be
-            # read must not hide the others' events.
+            answer = await self.http.call(
+                "GET",
+                f"http://{info.http}{path}",
+                GATHER_TIMEOUT_S,
+                headers={"Authorization": token},
+            )
+            return msgspec.json.decode(answer.body, type=list[Event])
+        except (CallError, msgspec.MsgspecError) as error:
+            # One process that can't be read must not hide the others' events.
             self.metrics.count("timelines_unread")
             get_logger().warning(
                 "timeline unread", agent=info.name, error=repr(error)
             )
             return []
-        finally:
-            await session.close()
 
     # Decisions about jobs
 
@@ -532,7 +526,7 @@
         await web.stop()
         await self.keyed.finish(SETTLE_PATIENCE_S)
         await cancel_tasks(tasks)
-        await self.router.close()
+        await self.http.close()
         self.mailbox.close()
         await self.table.close()
 
--- a/hickorywing/httpclient.py
+++ b/hickorywing/httpclient.py
@@ -2,17 +2,30 @@
 
 aiohttp takes blacksheep's place on the client side: it closes a connection
 whose request timed out or was cancelled, and lets the caller set options of
-the socket.
+the socket. blacksheep's client reads a body in a task that nothing refers to;
+a garbage collection between head and body ends that task, and the body never
+comes.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 import socket
 
 import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
 
-__all__ = ["CallError", "HttpAnswer", "HttpClient"]
+from hickorywing.errors import HickorywingError
+
+__all__ = [
+    "CallError",
+    "CallTimeout",
+    "ConnectError",
+    "HttpAnswer",
+    "HttpClient",
+]
 
 # Unacknowledged data closes a connection after this time. Round trips stay
 # below 0.1 s, so a longer silence means that the path or the peer is gone.
@@ -24,10 +37,18 @@
 IDLE_CONNECTION_S = 30.0
 
 
-class CallError(Exception):
+class CallError(HickorywingError):
     """Reports that a call got no complete answer; it may have been done."""
 
 
+class CallTimeout(CallError):  # noqa: N818
+    """Reports that the time of a call ran out; it may have been done."""
+
+
+class ConnectError(CallError):
+    """Reports that no connection was made, so the call was not sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """A complete answer; the names of headers ignore case."""
@@ -54,11 +75,32 @@
     return sock
 
 
+def make_error(what: str, error: Exception) -> CallError:
+    """Return the product's error for one of the library's."""
+    message = f"{what}: {type(error).__name__}"
+    if isinstance(
+        error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
+    ):
+        return ConnectError(message)
+    if isinstance(error, TimeoutError):
+        return CallTimeout(message)
+    return CallError(message)
+
+
 class HttpClient:
-    """A pool of connections; made inside a running loop."""
+    """A pool of connections; they belong to the loop of the first call."""
 
     def __init__(self) -> None:
-        self._session = aiohttp.ClientSession(
+        self._made: aiohttp.ClientSession | None = None
+
+    @property
+    def _session(self) -> aiohttp.ClientSession:
+        if self._made is None:
+            self._made = self._make_session()
+        return self._made
+
+    def _make_session(self) -> aiohttp.ClientSession:
+        return aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0,
                 socket_factory=open_socket,
@@ -75,14 +117,15 @@
         url: str,
         timeout_s: float,
         body: bytes | None = None,
-        headers: dict[str, str] | None = None,
+        headers: Mapping[str, str] | Iterable[tuple[str, str]] = (),
         content_type: str = "application/json",
     ) -> HttpAnswer:
         """Return the answer to one request; raise ``CallError``.
 
-        The request is sent once. A timed out connection is closed.
+        The request is sent once, to the URL as it is written. A timed out
+        connection is closed. Pairs of headers may repeat a name.
         """
-        sent = dict(headers or {})
+        sent = CIMultiDict(headers)
         if body is not None:
             sent["Content-Type"] = content_type
         limits = aiohttp.ClientTimeout(
@@ -92,7 +135,7 @@
         try:
             async with self._session.request(
                 method,
-                url,
+                URL(url, encoded=True),
                 data=body,
                 headers=sent,
                 timeout=limits,
@@ -101,10 +144,9 @@
                 body_read = await response.read()
                 return HttpAnswer(response.status, body_read, response.headers)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise CallError(
-                f"{method} {url}: {type(error).__name__}"
-            ) from error
+            raise make_error(f"{method} {url}", error) from error
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._session.close()
+        if self._made is not None:
+            await self._made.close()
--- a/hickorywing/routing.py
+++ b/hickorywing/routing.py
@@ -5,33 +5,33 @@
 unknown is repeated only when the request is safe or declared idempotent.
 """
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 import random
 import uuid
 
 from blacksheep import Content
-from blacksheep import Request
 from blacksheep import Response
-from blacksheep.client import ClientSession
-from blacksheep.client.exceptions import ConnectionTimeout
 import msgspec
 
+from hickorywing.dispatch import BYTES_TYPE
+from hickorywing.dispatch import decode_headers
 from hickorywing.dispatch import DispatchHeader
+from hickorywing.dispatch import encode_headers
 from hickorywing.dispatch import hop_headers
-from hickorywing.dispatch import read_whole
 from hickorywing.dispatch import RevokeAnswer
 from hickorywing.dispatch import RevokeRequest
 from hickorywing.dispatch import RunState
+from hickorywing.httpclient import CallError
+from hickorywing.httpclient import ConnectError
+from hickorywing.httpclient import HttpAnswer
+from hickorywing.httpclient import HttpClient
 from hickorywing.logs import get_logger
 from hickorywing.messages import AgentInfo
 from hickorywing.metrics import Metrics
 from hickorywing.policy.limits import RetryBudget
 from hickorywing.policy.selection import BackendSelector
 from hickorywing.web import answer_problem
-from hickorywing.web import CLIENT_IDLE_S
-from hickorywing.web import find_header
 from hickorywing.web import Problem
 
 __all__ = ["RequestRouter", "RoutedRequest", "RouteResult"]
@@ -103,6 +103,7 @@
         metrics: Metrics,
         clock: Callable[[], float],
         random_source: random.Random,
+        http: HttpClient,
     ) -> None:
         self.zone = zone
         self.metrics = metrics
@@ -111,7 +112,7 @@
         self.budget = RetryBudget()
         self.selectors: dict[str, BackendSelector] = {}
         self.agents: dict[str, AgentInfo] = {}
-        self._sessions: dict[str, ClientSession] = {}
+        self.http = http
 
     # Backend servers
 
@@ -143,22 +144,6 @@
         if info is not None:
             self._remove(info)
 
-    def _session_for(self, info: AgentInfo) -> ClientSession:
-        session = self._sessions.get(info.http)
-        if session is None:
-            session = ClientSession(
-                base_url=f"http://{info.http}",
-                http2=False,
-                max_connection_retries=0,
-                idle_timeout=CLIENT_IDLE_S,
-                follow_redirects=False,
-                cookie_jar=False,
-                connection_timeout=1.0,
-                request_timeout=600.0,
-            )
-            self._sessions[info.http] = session
-        return session
-
     # Requests
 
     async def route(
@@ -244,70 +229,66 @@
         dispatch_id: str,
         timeout_s: float,
     ) -> RouteResult:
-        outgoing = self._make_dispatch(request, info, dispatch_id, timeout_s)
-        session = self._session_for(info)
+        headers = self._dispatch_headers(request, info, dispatch_id, timeout_s)
+        kind = request.content_type
         try:
-            async with asyncio.timeout(timeout_s + ANSWER_SLACK_S):
-                response = await session.send(outgoing)
-                body = await read_whole(response)
-        except (ConnectionRefusedError, ConnectionTimeout):
+            answer = await self.http.call(
+                "POST",
+                f"http://{info.http}/dispatch",
+                timeout_s + ANSWER_SLACK_S,
+                request.body if request.body or kind is not None else None,
+                headers,
+                BYTES_TYPE if kind is None else kind.decode("latin-1"),
+            )
+        except ConnectError:
             self.metrics.count("agents_not_reachable")
             return RouteResult(
                 RunState.NOT_RUN,
                 reason="backend server's agent not reachable",
                 retry_after_s=1.0,
             )
-        except Exception as error:
+        except CallError as error:
             self.metrics.count("dispatch_answers_lost")
-            return await self._find_out(
-                info, dispatch_id, type(error).__name__
-            )
-        return self._read_answer(response, body)
+            return await self._find_out(info, dispatch_id, str(error))
+        return self._read_answer(answer)
 
-    def _make_dispatch(
+    def _dispatch_headers(
         self,
         request: RoutedRequest,
         info: AgentInfo,
         dispatch_id: str,
         timeout_s: float,
-    ) -> Request:
-        headers = [
-            *request.headers,
-            (DispatchHeader.DISPATCH, dispatch_id.encode()),
-            (DispatchHeader.INCARNATION, str(info.incarnation).encode()),
-            (DispatchHeader.METHOD, request.method.encode()),
-            (DispatchHeader.PATH, request.path.encode()),
-            (DispatchHeader.DEADLINE, f"{timeout_s:.3f}".encode()),
-        ]
-        outgoing = Request(
-            "POST", f"http://{info.http}/dispatch".encode(), headers
+    ) -> list[tuple[str, str]]:
+        return decode_headers(
+            [
+                *request.headers,
+                (DispatchHeader.DISPATCH, dispatch_id.encode()),
+                (DispatchHeader.INCARNATION, str(info.incarnation).encode()),
+                (DispatchHeader.METHOD, request.method.encode()),
+                (DispatchHeader.PATH, request.path.encode()),
+                (DispatchHeader.DEADLINE, f"{timeout_s:.3f}".encode()),
+            ]
         )
-        if request.body or request.content_type is not None:
-            kind = request.content_type or b"application/octet-stream"
-            outgoing = outgoing.with_content(Content(kind, request.body))
-        return outgoing
 
-    def _read_answer(self, response: Response, body: bytes) -> RouteResult:
-        said = find_header(response.headers, DispatchHeader.RUN)
-        reason = find_header(response.headers, DispatchHeader.REASON) or ""
+    def _read_answer(self, answer: HttpAnswer) -> RouteResult:
+        headers = answer.headers
+        said = headers.get(DispatchHeader.RUN.decode())
+        reason = headers.get(DispatchHeader.REASON.decode(), "")
         if said == RunState.NOT_RUN:
-            after = find_header(response.headers, b"retry-after")
             return RouteResult(
                 RunState.NOT_RUN,
                 reason=reason,
-                retry_after_s=float(after) if after else 1.0,
+                retry_after_s=float(headers.get("retry-after", 1.0)),
             )
         if said != RunState.DONE:
             return RouteResult(RunState.UNKNOWN, reason=reason)
-        kind = response.headers.get_first(b"content-type")
-        waited = find_header(response.headers, DispatchHeader.WAIT) or "0"
         return RouteResult(
             RunState.DONE,
-            response.status,
-            kind or b"application/octet-stream",
-            tuple(hop_headers(response.headers)),
-            body,
-            wait_s=float(waited),
+            answer.status,
+            headers.get("content-type", BYTES_TYPE).encode("latin-1"),
+            tuple(hop_headers(encode_headers(answer))),
+            answer.body,
+            wait_s=float(headers.get(DispatchHeader.WAIT.decode(), 0.0)),
         )
 
     async def _find_out(
@@ -315,14 +296,15 @@
     ) -> RouteResult:
         """Ask the agent to refuse a dispatch whose answer was lost."""
         wanted = RevokeRequest(dispatch_id, info.incarnation)
-        content = Content(b"application/json", msgspec.json.encode(wanted))
         try:
-            async with asyncio.timeout(REVOKE_TIMEOUT_S):
-                session = self._session_for(info)
-                response = await session.post("/revoke", content=content)
-                body = await read_whole(response)
-            answer = msgspec.json.decode(body, type=RevokeAnswer)
-        except Exception as error:
+            said = await self.http.call(
+                "POST",
+                f"http://{info.http}/revoke",
+                REVOKE_TIMEOUT_S,
+                msgspec.json.encode(wanted),
+            )
+            answer = msgspec.json.decode(said.body, type=RevokeAnswer)
+        except (CallError, msgspec.MsgspecError) as error:
             self.metrics.count("revocations_unanswered")
             get_logger().warning(
                 "revocation unanswered",
@@ -335,8 +317,3 @@
                 RunState.NOT_RUN, reason=reason, retry_after_s=1.0
             )
         return RouteResult(RunState.UNKNOWN, reason=reason)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        for session in self._sessions.values():
-            await session.close()
--- a/hickorywing/standins/backends.py
+++ b/hickorywing/standins/backends.py
@@ -7,18 +7,20 @@
 from blacksheep import Content
 from blacksheep import Request
 from blacksheep import Response
-from blacksheep.client import ClientSession
 import msgspec
 
 from hickorywing.backends import Announcement
+from hickorywing.httpclient import CallError
+from hickorywing.httpclient import HttpClient
+from hickorywing.logs import get_logger
 from hickorywing.settings import StandinSettings
 from hickorywing.web import answer_json
-from hickorywing.web import CLIENT_IDLE_S
 from hickorywing.web import find_header
 
 __all__ = ["BackendFaults", "make_backend_app", "announce"]
 
 ANNOUNCE_EVERY_S = 0.5
+ANNOUNCE_TIMEOUT_S = 2.0
 
 
 class BackendFaults(msgspec.Struct):
@@ -76,12 +78,7 @@
 
 async def announce(settings: StandinSettings, address: str) -> None:
     """Tell the agent of this backend server, again and again."""
-    session = ClientSession(
-        base_url=settings.agent,
-        http2=False,
-        max_connection_retries=0,
-        idle_timeout=CLIENT_IDLE_S,
-    )
+    http = HttpClient()
     body = msgspec.json.encode(
         Announcement(
             settings.name,
@@ -93,9 +90,13 @@
     )
     while True:
         try:
-            await session.post(
-                "/announce", content=Content(b"application/json", body)
+            await http.call(
+                "POST",
+                f"{settings.agent}/announce",
+                ANNOUNCE_TIMEOUT_S,
+                body,
             )
-        except Exception:
-            await asyncio.sleep(0)
+        except CallError as error:
+            # The agent may not run yet; the next announcement tells it.
+            get_logger().info("announcement unanswered", error=str(error))
         await asyncio.sleep(ANNOUNCE_EVERY_S)
--- a/hickorywing/table.py
+++ b/hickorywing/table.py
@@ -13,16 +13,15 @@
 from typing import Any
 import uuid
 
-from blacksheep import Content
-from blacksheep.client import ClientSession
 import msgspec
 
 from hickorywing.commits import Committed
 from hickorywing.commits import Refused
 from hickorywing.commits import Unknown
 from hickorywing.errors import HickorywingError
+from hickorywing.httpclient import CallError
+from hickorywing.httpclient import HttpClient
 from hickorywing.logs import get_logger
-from hickorywing.web import CLIENT_IDLE_S
 
 __all__ = [
     "Check",
@@ -144,23 +143,19 @@
     """The table service over HTTP."""
 
     def __init__(self, url: str, timeout_s: float = TABLE_TIMEOUT_S) -> None:
+        self.url = url.rstrip("/")
         self.timeout_s = timeout_s
-        self._session = ClientSession(
-            base_url=url,
-            http2=False,
-            max_connection_retries=0,
-            idle_timeout=CLIENT_IDLE_S,
-            connection_timeout=2.0,
-            request_timeout=timeout_s,
-            follow_redirects=False,
-        )
+        self._http = HttpClient()
 
     async def _post(self, path: str, message: msgspec.Struct) -> bytes | int:
         """Return the body of a good answer, else the status."""
-        content = Content(b"application/json", msgspec.json.encode(message))
-        response = await self._session.post(path, content=content)
-        body = await response.read() or b""
-        return body if response.status == 200 else response.status
+        answer = await self._http.call(
+            "POST",
+            self.url + path,
+            self.timeout_s,
+            msgspec.json.encode(message),
+        )
+        return answer.body if answer.status == 200 else answer.status
 
     async def read_many(self, keys: list[str]) -> list[Row]:
         """Return the rows of the keys; raise ``TableUnavailable``."""
@@ -183,16 +178,14 @@
             if isinstance(body, int):
                 raise TableUnavailable(f"the table answered {body}")
             return msgspec.json.decode(body, type=RowsAnswer).rows
-        except TableUnavailable:
-            raise
-        except Exception as error:
+        except (CallError, msgspec.DecodeError) as error:
             raise TableUnavailable(f"no answer: {error!r}") from error
 
     async def commit(self, transaction: Transaction) -> Commit:
         """Try a transaction once; a lost answer is ``Unknown``."""
         try:
             body = await self._post("/commit", transaction)
-        except Exception as error:
+        except CallError as error:
             get_logger().warning("commit unanswered", error=repr(error))
             return Unknown()
         if isinstance(body, int):
@@ -207,7 +200,7 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._session.close()
+        await self._http.close()
 
 
 SCAN_PAGE = 500
--- a/hickorywing/workers.py
+++ b/hickorywing/workers.py
@@ -4,11 +4,9 @@
 from abc import abstractmethod
 import enum
 
-from blacksheep import Content
-from blacksheep.client import ClientSession
 import msgspec
 
-from hickorywing.web import CLIENT_IDLE_S
+from hickorywing.httpclient import HttpClient
 
 __all__ = [
     "HttpWorker",
@@ -91,22 +89,19 @@
     """A worker over HTTP."""
 
     def __init__(self, url: str) -> None:
-        self._session = ClientSession(
-            base_url=url,
-            http2=False,
-            max_connection_retries=0,
-            idle_timeout=CLIENT_IDLE_S,
-            connection_timeout=WORKER_TIMEOUT_S,
-            request_timeout=WORKER_TIMEOUT_S,
-        )
+        self.url = url.rstrip("/")
+        self._http = HttpClient()
 
     async def _post(self, path: str, message: msgspec.Struct) -> bytes:
-        content = Content(b"application/json", msgspec.json.encode(message))
-        response = await self._session.post(path, content=content)
-        body = await response.read() or b""
-        if response.status >= 300:
-            raise ConnectionError(f"the worker answered {response.status}")
-        return body
+        answer = await self._http.call(
+            "POST",
+            self.url + path,
+            WORKER_TIMEOUT_S,
+            msgspec.json.encode(message),
+        )
+        if answer.status >= 300:
+            raise ConnectionError(f"the worker answered {answer.status}")
+        return answer.body
 
     async def start(self, launch: TaskLaunch) -> None:
         """Start a task."""
--- /dev/null
+++ b/tests/test_httpclient.py
@@ -0,0 +1,99 @@
+"""The HTTP client and the products' clients built on it."""
+
+import asyncio
+import gc
+
+from platformsystem import free_address
+import pytest
+
+from hickorywing.httpclient import CallError
+from hickorywing.httpclient import CallTimeout
+from hickorywing.httpclient import ConnectError
+from hickorywing.httpclient import HttpClient
+from hickorywing.table import HttpTable
+from hickorywing.workers import HttpWorker
+from hickorywing.workers import TaskNames
+
+PAUSE_S = 0.1
+
+
+def make_head(length: int) -> bytes:
+    return (
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+        f"content-length: {length}\r\n\r\n"
+    ).encode()
+
+
+async def serve_slowly(address: str, body: bytes) -> asyncio.Server:
+    """Answer calls with a garbage collection between head and body."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(make_head(len(body)))
+        await writer.drain()
+        await asyncio.sleep(PAUSE_S)
+        gc.collect()
+        await asyncio.sleep(PAUSE_S)
+        writer.write(body)
+        await writer.drain()
+
+    host, port = address.split(":")
+    return await asyncio.start_server(answer, host, int(port))
+
+
+class TestGarbageCollection:
+    """A body comes although garbage is collected while it is awaited."""
+
+    async def test_rows_of_the_table(self):
+        address = free_address()
+        server = await serve_slowly(address, b'{"rows":[{"key":"a"}]}')
+        table = HttpTable(f"http://{address}")
+        async with asyncio.timeout(3):
+            row = await table.read("a")
+        assert row.key == "a"
+        await table.close()
+        server.close()
+
+    async def test_states_of_a_worker(self):
+        address = free_address()
+        server = await serve_slowly(address, b'{"tasks":[]}')
+        worker = HttpWorker(f"http://{address}")
+        async with asyncio.timeout(3):
+            states = await worker.renew(TaskNames([]))
+        assert states.tasks == []
+        server.close()
+
+
+class TestErrors:
+    """Errors tell whether a call can have been done."""
+
+    async def test_nothing_listens(self):
+        http = HttpClient()
+        with pytest.raises(ConnectError):
+            await http.call("GET", f"http://{free_address()}/", 1.0)
+        await http.close()
+
+    async def test_no_answer_in_time(self):
+        address = free_address()
+        server = await serve_slowly(address, b"late")
+        http = HttpClient()
+        with pytest.raises(CallTimeout):
+            await http.call("GET", f"http://{address}/", PAUSE_S)
+        await http.close()
+        server.close()
+
+    async def test_connection_closed_before_the_whole_body(self):
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(make_head(10) + b"half")
+            writer.close()
+
+        address = free_address()
+        host, port = address.split(":")
+        server = await asyncio.start_server(answer, host, int(port))
+        http = HttpClient()
+        with pytest.raises(CallError) as caught:
+            await http.call("GET", f"http://{address}/", 1.0)
+        assert not isinstance(caught.value, ConnectError | CallTimeout)
+        await http.close()
+        server.close()
--- a/tools/latency.py
+++ b/tools/latency.py
@@ -10,18 +10,18 @@
 import shutil
 import time
 
-from blacksheep.client import ClientSession
 from launcher import Launcher
 from launcher import Plan
 from slopes import cpu_s
 from slopes import resident_mb
 
+from hickorywing.httpclient import HttpClient
 from hickorywing.rules import hash_token
-from hickorywing.web import CLIENT_IDLE_S
 
 __all__ = ["main"]
 
 REQUESTS = 1500
+CALL_TIMEOUT_S = 10.0
 
 
 async def drive(
@@ -32,23 +32,20 @@
     left = [requests]
 
     async def one_connection() -> None:
-        session = ClientSession(
-            base_url=url,
-            http2=False,
-            max_connection_retries=0,
-            idle_timeout=CLIENT_IDLE_S,
-        )
+        http = HttpClient()
         while left[0] > 0:
             left[0] -= 1
             began = time.perf_counter()
-            response = await session.get(
-                path, headers={"Authorization": "Bearer north"}
+            answer = await http.call(
+                "GET",
+                f"{url}{path}",
+                CALL_TIMEOUT_S,
+                headers={"Authorization": "Bearer north"},
             )
-            body = await response.read()
-            if response.status != 200:
-                raise RuntimeError(f"{response.status}: {body}")
+            if answer.status != 200:
+                raise RuntimeError(f"{answer.status}: {answer.body}")
             took.append(time.perf_counter() - began)
-        await session.close()
+        await http.close()
 
     await asyncio.gather(*(one_connection() for _ in range(connections)))
     return sorted(took)
