Renew leases without the store only while nobody can have taken the role

Cause: a holder that was cut off from the store renewed its workers' leases for 20 s more, while a successor gives up workers that it doesn't meet after one lease. Behind a cut that held the holder and its workers for longer than 11.7 s, tasks ran and ended while the successor started them again. Ruled out: the successor's wait (10.5 s, as designed), the workers' clocks.

Change: the holder counts leases from the last moment at which no successor can have begun: one lease time after its last renewal, or the moment at which it asked all other entries and each answered that it can't reach the store either and has held no newer term. An entry that hasn't been up since the last renewal doesn't vouch. Entries that know of a newer term say so. The holder reads the entries' rows every 10 s instead of once a term.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -36,12 +36,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkTerms:
-    """What all links of one term of a controller share."""
+    """What all links of one term of a controller share.
+
+    No successor's term has begun before ``alone_until_s()``. A successor waits
+    for the longest lease from the beginning of its term, so leases that are
+    counted from that moment at the latest have run out by then.
+    """
 
     pool: str
     epoch: int
     lease_limit_s: float
-    may_renew: Callable[[], bool]
+    alone_until_s: Callable[[], float]
     log: DecisionLog
 
 
@@ -97,12 +102,18 @@
         return self.report.clock_ms + int(elapsed_s * 1000)
 
     def lease_ms(self) -> int:
-        """Grant a lease from now on; return its end on the worker's clock."""
+        """Grant a lease; return its end on the worker's clock, or 0."""
         clock_ms = self.clock_ms()
-        if not clock_ms or not self._terms.may_renew():
+        now = now_s()
+        since_s = min(now, self._terms.alone_until_s())
+        left_s = since_s + self._terms.lease_limit_s - now
+        if not clock_ms or left_s <= 0:
             return 0
-        self.lease_end_s = now_s() + self._longest(self._terms.lease_limit_s)
-        return clock_ms + int(self._terms.lease_limit_s * 1000)
+        self.lease_end_s = max(
+            self.lease_end_s,
+            since_s + self._longest(self._terms.lease_limit_s),
+        )
+        return clock_ms + int(left_s * 1000)
 
     def note(self, number: int) -> None:
         """Let the worker forget its ends up to a number."""
--- a/hickorywing/handover.py
+++ b/hickorywing/handover.py
@@ -3,8 +3,9 @@
 A holder that the store turns away can't renew its lease, while others could
 take its role and would have to wait until the lease has run out. It asks them
 instead, and the first one that reads the lease from the store takes over.
-While the store answers nobody, nobody accepts and the holder goes on renewing
-the leases of running work.
+While the store answers nobody, nobody accepts, and the holder goes on renewing
+the leases of running work as long as every other entry says so: then nobody
+can have taken its role.
 """
 
 import asyncio
@@ -21,6 +22,8 @@
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobrows import ENTRIES
 from hickorywing.jobrows import entry_key
+from hickorywing.poollease import OfferOutcome
+from hickorywing.poollease import PoolLease
 from hickorywing.rows import Committed
 from hickorywing.rows import RowStore
 from hickorywing.rows import RowTransaction
@@ -29,7 +32,13 @@
 from hickorywing.web import add_route
 from hickorywing.web import answer_json
 
-__all__ = ["HandOverApi", "PeerBook", "RoleOffer", "offer_role"]
+__all__ = [
+    "HandOverApi",
+    "OfferAnswer",
+    "PeerBook",
+    "RoleOffer",
+    "offer_role",
+]
 
 # An entry that reaches the store reads a row in a few milliseconds, or in a
 # quarter of a second while the store is slow.
@@ -38,10 +47,27 @@
 
 
 class RoleOffer(msgspec.Struct, frozen=True):
-    """Offers the role of a pool's controller in a given term."""
+    """Offers the role of a pool's controller in a given term.
+
+    The holder's lease was last confirmed ``unconfirmed_s`` ago.
+    """
 
     pool: str
     epoch: int
+    unconfirmed_s: float = 0.0
+
+
+class OfferAnswer(msgspec.Struct, frozen=True):
+    """Answers an offer.
+
+    ``term`` is the newest term that the entry has read from the store or held
+    itself. ``vouches`` says that the store gave it no answer, and that it has
+    held no newer term since the holder's lease was confirmed.
+    """
+
+    accepted: bool = False
+    term: int = 0
+    vouches: bool = False
 
 
 class PeerBook:
@@ -91,25 +117,32 @@
 
 async def offer_role(
     offer: RoleOffer, peers: PeerBook, http: HttpClient
-) -> str:
-    """Return the entry that accepted the role, empty if none did."""
+) -> OfferOutcome:
+    """Offer the role to one entry after another, so that only one takes it."""
     body = msgspec.json.encode(offer)
-
-    async def ask(name: str, address: str) -> str:
-        try:
-            answer = await http.call(
-                "POST", f"http://{address}/take-role", OFFER_TIMEOUT_S, body
-            )
-        except CallError:
-            return ""
-        return name if answer.status == 200 else ""
-
-    # One after another, so that only one takes the role.
+    vouched = True
     for name, address in sorted(peers.addresses.items()):
-        accepted = await ask(name, address)
-        if accepted:
-            return accepted
-    return ""
+        answer = await ask_entry(address, body, http)
+        if answer.accepted:
+            return OfferOutcome(successor=name)
+        if answer.term > offer.epoch:
+            return OfferOutcome(newer_term=answer.term)
+        vouched = vouched and answer.vouches
+    return OfferOutcome(vouched=vouched)
+
+
+async def ask_entry(
+    address: str, body: bytes, http: HttpClient
+) -> OfferAnswer:
+    """Return an entry's answer to an offer; silence counts as a refusal."""
+    try:
+        answer = await http.call(
+            "POST", f"http://{address}/take-role", OFFER_TIMEOUT_S, body
+        )
+        return msgspec.json.decode(answer.body, type=OfferAnswer)
+    except (CallError, msgspec.MsgspecError):
+        # The caller logs what came of its offers.
+        return OfferAnswer()
 
 
 class HandOverApi:
@@ -117,7 +150,7 @@
 
     def __init__(
         self,
-        find: Callable[[str], Callable[[int], None] | None],
+        find: Callable[[str], PoolLease | None],
         read_epoch: Callable[[str], Awaitable[int | None]],
         log: DecisionLog,
     ) -> None:
@@ -134,19 +167,37 @@
         offer = msgspec.json.decode(
             await request.read() or b"{}", type=RoleOffer
         )
-        consent = self._find(offer.pool)
-        epoch = None
-        if consent is not None:
-            epoch = await self._read_epoch(offer.pool)
-        accepted = epoch == offer.epoch
+        lease = self._find(offer.pool)
+        if lease is None:
+            return answer_json(409, OfferAnswer())
+        read = await self._read_epoch(offer.pool)
+        answer = answer_offer(offer, read, lease)
         self._log.write(
             "role offered",
             pool=offer.pool,
             epoch=offer.epoch,
-            read=epoch,
-            accepted=accepted,
+            read=read,
+            accepted=answer.accepted,
+            vouches=answer.vouches,
+        )
+        if answer.accepted:
+            lease.consent(offer.epoch)
+        return answer_json(200 if answer.accepted else 409, answer)
+
+
+def answer_offer(
+    offer: RoleOffer, read: int | None, lease: PoolLease
+) -> OfferAnswer:
+    """Accept a term that the store still has; else say what is known.
+
+    ``read`` is the term in the store, ``None`` if that is silent. An entry
+    that held a newer term, or that hasn't been up for long enough to tell,
+    can't vouch that there was none.
+    """
+    if read is None:
+        return OfferAnswer(
+            term=lease.epoch,
+            vouches=lease.epoch <= offer.epoch
+            and lease.age_s() >= offer.unconfirmed_s,
         )
-        if not accepted:
-            return answer_json(409, {})
-        consent(offer.epoch)
-        return answer_json(200, {})
+    return OfferAnswer(read == offer.epoch, max(read, lease.epoch))
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from dataclasses import asdict
 from dataclasses import dataclass
 import time
 
@@ -35,7 +36,7 @@
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.poolconfig import ConfigurationView
-from hickorywing.poollease import LEASE_S
+from hickorywing.poollease import OfferOutcome
 from hickorywing.poollease import PoolLease
 from hickorywing.rows import HistoryLost
 from hickorywing.rows import RowStore
@@ -50,11 +51,9 @@
 FEED_WAIT_S = 2.0
 AGENT_FEED_WAIT_S = 5.0
 TICK_S = 0.1
-# The lease may lapse before another candidate takes over; until then the
-# agents go on being told that their work may continue. A controller that is
-# cut off from the store learns of its successor from the agents.
-RENEW_UNCONFIRMED_S = 20.0
 COUNT_EVERY_S = 0.5
+# An entry that is new matters only if the store turns this one away just then.
+PEERS_EVERY_S = 10.0
 SWEEP_EVERY_S = 10.0
 # Agents answer a new controller within a few round trips and one look at
 # their worker; those that are away are not waited for.
@@ -94,29 +93,33 @@
         """Compete for the pool and control it until cancelled."""
         await self.lease.run(self._serve)
 
-    async def _offer_role(self, epoch: int) -> str:
-        """Offer the role to the other entries; return who accepted."""
-        offer = RoleOffer(self.pool, epoch)
-        successor = await offer_role(
-            offer, self._parts.peers, self._parts.http
-        )
+    async def _offer_role(self, epoch: int) -> OfferOutcome:
+        """Offer the role to the other entries."""
+        offer = RoleOffer(self.pool, epoch, self.lease.unconfirmed_s())
+        outcome = await offer_role(offer, self._parts.peers, self._parts.http)
         self._parts.log.write(
-            "role handed over" if successor else "role not taken",
+            "role handed over" if outcome.successor else "role not taken",
             pool=self.pool,
             epoch=epoch,
             asked=sorted(self._parts.peers.addresses),
-            successor=successor,
+            **asdict(outcome),
         )
-        return successor
+        return outcome
 
     async def _serve(self) -> None:
         """Control the pool for one term."""
-        refreshing = asyncio.ensure_future(self._parts.peers.refresh())
+        refreshing = asyncio.ensure_future(self._refresh_peers())
         try:
             await Term(self.lease, self._parts).run()
         finally:
             refreshing.cancel()
 
+    async def _refresh_peers(self) -> None:
+        """Follow which entries there are, any of which may be a successor."""
+        while True:
+            await self._parts.peers.refresh()
+            await asyncio.sleep(PEERS_EVERY_S)
+
 
 class Term:
     """The controller's state during one term of its lease."""
@@ -130,7 +133,11 @@
         self._log = log
         self._links: dict[str, tuple[AgentLink, asyncio.Task[None]]] = {}
         self._link_terms = LinkTerms(
-            lease.pool, lease.epoch, terms.lease_limit_s, self._may_renew, log
+            lease.pool,
+            lease.epoch,
+            terms.lease_limit_s,
+            lease.alone_until_s,
+            log,
         )
         self._committer = Committer(lease, parts.store, log)
         self._counts: dict[str, int] = {}
@@ -157,9 +164,6 @@
             link.worker for link, _ in self._links.values()
         )
 
-    def _may_renew(self) -> bool:
-        return self._lease.unconfirmed_s() < LEASE_S + RENEW_UNCONFIRMED_S
-
     async def run(self) -> None:
         """Load the rows, then follow them until the role is lost."""
         requests_version = await self._load()
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from pathlib import Path
 
 from blacksheep import Application
@@ -28,6 +27,7 @@
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.poolcontroller import ControllerParts
 from hickorywing.poolcontroller import PoolController
+from hickorywing.poollease import PoolLease
 from hickorywing.poollease import read_holder_epoch
 from hickorywing.program import cancel_tasks
 from hickorywing.program import describe_reload
@@ -143,16 +143,16 @@
         async def read_epoch(pool: str) -> int | None:
             return await read_holder_epoch(store, pool)
 
-        HandOverApi(self._find_consent, read_epoch, self._log).install(app)
+        HandOverApi(self._find_lease, read_epoch, self._log).install(app)
         serve_metrics(app, self._metrics)
         return app
 
-    def _find_consent(self, pool: str) -> Callable[[int], None] | None:
-        """Return how a candidate of a pool is told to take over."""
+    def _find_lease(self, pool: str) -> PoolLease | None:
+        """Return this entry's part in a pool's lease."""
         known = self._controllers.get(pool)
         if known is None or self._leaving:
             return None
-        return known[0].lease.consent
+        return known[0].lease
 
     async def handle_ready(self, request: Request) -> Response:
         """Tell whether new callers are welcome."""
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import dataclass
 import random
 
 import msgspec
@@ -30,7 +31,7 @@
 from hickorywing.rows import StoredRow
 from hickorywing.rows import StoreUnavailable
 
-__all__ = ["LEASE_S", "PoolLease", "read_holder_epoch"]
+__all__ = ["LEASE_S", "OfferOutcome", "PoolLease", "read_holder_epoch"]
 
 # A holder that dies leaves its pool without decisions for one lease, so the
 # lease is short; one renewal that times out after a probe fits into it.
@@ -44,6 +45,20 @@
 READ_TIMEOUT_S = 0.4
 
 
+@dataclass(frozen=True, slots=True)
+class OfferOutcome:
+    """What came of offering the role to the other entries.
+
+    ``successor`` took it; ``newer_term`` is one that somebody knows of.
+    ``vouched`` tells that no entry reaches the store or held a newer term, by
+    the answers of all of them.
+    """
+
+    successor: str = ""
+    newer_term: int = 0
+    vouched: bool = False
+
+
 class PoolLease:
     """One process's part in holding a pool's lease."""
 
@@ -54,13 +69,15 @@
         store: RowStore,
         log: DecisionLog,
         metrics: Metrics,
-        offer: Callable[[int], Awaitable[str]] | None = None,
+        offer: Callable[[int], Awaitable[OfferOutcome]] | None = None,
     ) -> None:
         self.pool = pool
         self.name = name
         self.epoch = 0
         self.epoch_version = 0
         self.renewed_s: float | None = None
+        self._began_s = now_s()
+        self._vouched_s = 0.0
         self._store = store
         self._log = log
         self._metrics = metrics
@@ -86,6 +103,20 @@
             return float("inf")
         return now_s() - self.renewed_s
 
+    def age_s(self) -> float:
+        """Return for how long this candidate has been there."""
+        return now_s() - self._began_s
+
+    def alone_until_s(self) -> float:
+        """Return a moment before which no successor's term has begun.
+
+        A candidate watches the row for a whole lease, or says that it can't
+        read it. What is granted from this moment on may meet a successor.
+        """
+        if self.renewed_s is None:
+            return float("-inf")
+        return max(self.renewed_s + LEASE_S, self._vouched_s)
+
     def expectation(self) -> RowExpectation:
         """Return what fails once another holder has taken over."""
         return RowExpectation(epoch_key(self.pool), self.epoch_version)
@@ -232,6 +263,7 @@
         self._version = answer.version
         self._renewal = 0
         self.renewed_s = sent_s
+        self._vouched_s = 0.0
         self._log.write(
             "role taken", pool=self.pool, epoch=epoch, previous=lease.holder
         )
@@ -269,9 +301,14 @@
         """Give the role to an entry that reaches the store, if any does."""
         if self._offer is None or self._lost.is_set():
             return
-        successor = await self._offer(self.epoch)
-        if successor:
-            self.surrender(f"handed to {successor}")
+        asked_s = now_s()
+        outcome = await self._offer(self.epoch)
+        if outcome.successor:
+            self.surrender(f"handed to {outcome.successor}")
+        elif outcome.newer_term:
+            self.surrender(f"an entry knows of epoch {outcome.newer_term}")
+        elif outcome.vouched:
+            self._vouched_s = asked_s
 
     def _recognise(self, mismatch: Mismatch, sent_s: float) -> None:
         """Take a row with this holder's name as an earlier lost renewal."""
--- a/tests/test_poollease.py
+++ b/tests/test_poollease.py
@@ -4,9 +4,13 @@
 
 from cutstore import CutStore
 
+from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
+from hickorywing.handover import answer_offer
+from hickorywing.handover import RoleOffer
 from hickorywing.metrics import Metrics
 from hickorywing.poollease import LEASE_S
+from hickorywing.poollease import OfferOutcome
 from hickorywing.poollease import PoolLease
 from hickorywing.poollease import read_holder_epoch
 from hickorywing.standins.rowstore import MemoryRowStore
@@ -52,13 +56,16 @@
 
         self.tasks[name] = asyncio.ensure_future(lease.run(serve))
 
-    async def offer(self, epoch: int) -> str:
+    async def offer(self, epoch: int) -> OfferOutcome:
         if not self.consenting:
-            return ""
-        if await read_holder_epoch(self.ways["b"], "p") != epoch:
-            return ""
-        self.leases["b"].consent(epoch)
-        return "b"
+            return OfferOutcome()
+        read = await read_holder_epoch(self.ways["b"], "p")
+        offer = RoleOffer("p", epoch, self.leases["a"].unconfirmed_s())
+        answer = answer_offer(offer, read, self.leases["b"])
+        if answer.accepted:
+            self.leases["b"].consent(epoch)
+            return OfferOutcome(successor="b")
+        return OfferOutcome(vouched=answer.vouches)
 
     async def wait(self, check, timeout_s: float = 2 * LEASE_S) -> float:
         loop = asyncio.get_running_loop()
@@ -122,3 +129,46 @@
             await asyncio.sleep(1.5 * LEASE_S)
             assert both.serving == ["a"]
             assert not both.leases["a"].holds()
+
+
+class TestAlone:
+    """Leases are renewed without the store only while nobody took the role.
+
+    The load: a zone with the holder and its workers is cut from the rest for
+    longer than the longest lease, and the successor starts their tasks again.
+    """
+
+    async def test_a_holder_that_reaches_nobody(self):
+        async with Candidates() as both:
+            both.ways["a"].cut = True
+            await asyncio.sleep(LEASE_S / 2)
+            renewed_s = both.leases["a"].renewed_s
+            await both.wait(lambda: both.serving == ["a", "b"])
+            assert both.leases["a"].alone_until_s() == renewed_s + LEASE_S
+            assert both.leases["a"].alone_until_s() <= now_s()
+
+    async def test_a_store_that_is_silent_for_all(self):
+        async with Candidates() as both:
+            both.consenting = True
+            # An entry vouches only from the first renewal after its start on.
+            await asyncio.sleep(LEASE_S / 2)
+            for way in both.ways.values():
+                way.cut = True
+            await asyncio.sleep(3 * LEASE_S)
+            assert both.serving == ["a"]
+            assert now_s() - both.leases["a"].alone_until_s() < LEASE_S
+
+    async def test_an_entry_that_held_a_newer_term(self):
+        async with Candidates() as both:
+            lease = both.leases["b"]
+            offer = RoleOffer("p", 1, lease.age_s())
+            assert answer_offer(offer, None, lease).vouches
+            lease.epoch = 2
+            answer = answer_offer(offer, None, lease)
+            assert not answer.vouches
+            assert answer.term == 2
+
+    async def test_an_entry_that_has_just_started(self):
+        async with Candidates() as both:
+            offer = RoleOffer("p", 1, 60.0)
+            assert not answer_offer(offer, None, both.leases["b"]).vouches
