Let entries vouch that have just started

Cause: in an outage for all, one entry that lost power and came back ended all running work after a lease. Ruled out: the holder's calls (answered by both), the other entry (vouched).

Change: an entry that isn't a candidate vouches, and its age doesn't count. An earlier process of it may have taken the role while the holder did not hear from it; but then the holder's leases were not extended meanwhile, and a successor gives up a worker only after they have run out. A stopping entry answers too, and accepts nothing.

--- a/hickorywing/handover.py
+++ b/hickorywing/handover.py
@@ -47,14 +47,10 @@
 
 
 class RoleOffer(msgspec.Struct, frozen=True):
-    """Offers the role of a pool's controller in a given term.
-
-    The holder's lease was last confirmed ``unconfirmed_s`` ago.
-    """
+    """Offers the role of a pool's controller in a given term."""
 
     pool: str
     epoch: int
-    unconfirmed_s: float = 0.0
 
 
 class OfferAnswer(msgspec.Struct, frozen=True):
@@ -62,7 +58,9 @@
 
     ``term`` is the newest term that the entry has read from the store or held
     itself. ``vouches`` says that the store gave it no answer, and that it has
-    held no newer term since the holder's lease was confirmed.
+    held no newer term since its process began. An earlier process of the same
+    entry may have, but then it was silent for the holder meanwhile: it can't
+    have given up a worker before the holder's leases there had run out.
     """
 
     accepted: bool = False
@@ -169,7 +167,8 @@
         )
         lease = self._find(offer.pool)
         if lease is None:
-            return answer_json(409, OfferAnswer())
+            # Not a candidate yet, as after a start while the store is silent.
+            return answer_json(409, OfferAnswer(vouches=True))
         read = await self._read_epoch(offer.pool)
         answer = answer_offer(offer, read, lease)
         self._log.write(
@@ -190,14 +189,11 @@
 ) -> OfferAnswer:
     """Accept a term that the store still has; else say what is known.
 
-    ``read`` is the term in the store, ``None`` if that is silent. An entry
-    that held a newer term, or that hasn't been up for long enough to tell,
-    can't vouch that there was none.
+    ``read`` is the term in the store, ``None`` if that is silent.
     """
     if read is None:
         return OfferAnswer(
-            term=lease.epoch,
-            vouches=lease.epoch <= offer.epoch
-            and lease.age_s() >= offer.unconfirmed_s,
+            term=lease.epoch, vouches=lease.epoch <= offer.epoch
         )
-    return OfferAnswer(read == offer.epoch, max(read, lease.epoch))
+    accepted = read == offer.epoch and not lease.released
+    return OfferAnswer(accepted, max(read, lease.epoch))
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -95,7 +95,7 @@
 
     async def _offer_role(self, epoch: int) -> OfferOutcome:
         """Offer the role to the other entries."""
-        offer = RoleOffer(self.pool, epoch, self.lease.unconfirmed_s())
+        offer = RoleOffer(self.pool, epoch)
         outcome = await offer_role(offer, self._parts.peers, self._parts.http)
         self._parts.log.write(
             "role handed over" if outcome.successor else "role not taken",
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -150,9 +150,7 @@
     def _find_lease(self, pool: str) -> PoolLease | None:
         """Return this entry's part in a pool's lease."""
         known = self._controllers.get(pool)
-        if known is None or self._leaving:
-            return None
-        return known[0].lease
+        return None if known is None else known[0].lease
 
     async def handle_ready(self, request: Request) -> Response:
         """Tell whether new callers are welcome."""
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -76,7 +76,6 @@
         self.epoch = 0
         self.epoch_version = 0
         self.renewed_s: float | None = None
-        self._began_s = now_s()
         self._vouched_s = 0.0
         self._store = store
         self._log = log
@@ -86,7 +85,7 @@
         self._offer = offer
         self._consented = 0
         self._consent_given = asyncio.Event()
-        self._released = False
+        self.released = False
         self._lost = asyncio.Event()
 
     def holds(self) -> bool:
@@ -103,10 +102,6 @@
             return float("inf")
         return now_s() - self.renewed_s
 
-    def age_s(self) -> float:
-        """Return for how long this candidate has been there."""
-        return now_s() - self._began_s
-
     def alone_until_s(self) -> float:
         """Return a moment before which no successor's term has begun.
 
@@ -136,7 +131,7 @@
 
     async def run(self, serve: Callable[[], Awaitable[None]]) -> None:
         """Compete, and run ``serve`` during each term, until cancelled."""
-        while not self._released:
+        while not self.released:
             if not await self._acquire():
                 return
             self._lost.clear()
@@ -161,7 +156,7 @@
 
     async def release(self) -> None:
         """Let a successor take over at once, and compete no more."""
-        self._released = True
+        self.released = True
         if not self.holds():
             return
         self._lost.set()
@@ -179,7 +174,7 @@
         """Return once the lease is held; ``False`` after a release."""
         seen: StoredRow | None = None
         still_since: float | None = None
-        while not self._released:
+        while not self.released:
             try:
                 row = await self._store.read_row(lease_key(self.pool))
             except StoreUnavailable:
