Give up runs whose worker or VM never returns

Cause, two of one kind: a lease that is granted over and over to nobody. The controller extended its own idea of a lease with every call to an agent that didn't answer, so runs on a VM that was lost for good were never given up. And while an agent answered whose worker didn't, the controller went on granting and the run stayed open too. Ruled out: the planner (the task was never ready), the successor's wait (no takeover).

Change: a silent agent is granted nothing until it answers. An agent passes neither leases nor starts on to a silent worker, and reports the end of the longest lease it has passed on; once the worker's clock is surely past it, its runs have lapsed. The first lease of a worker that had no work is 4 s until the worker has answered, so that a gang placed on a VM that has just vanished is placed anew after 5 s and not after 11. Silent agents and workers get no new work at once, not after 3.5 s without news.

Failed first: the two tests of a worker and a VM that never return.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -18,7 +18,7 @@
 from hickorywing.orders import WatchOrder
 from hickorywing.orders import WorkerReport
 
-__all__ = ["ORDER_LIFE_S", "AgentLink", "LinkTerms"]
+__all__ = ["FIRST_LEASE_S", "ORDER_LIFE_S", "AgentLink", "LinkTerms"]
 
 # An order passes one link and is answered by the worker within its own limit.
 ORDER_TIMEOUT_S = 1.2
@@ -31,6 +31,11 @@
 CLOCK_SLOWNESS = 0.02
 # Time for an order to reach the worker before it is no longer carried out.
 ORDER_LIFE_S = 1.5
+# The first lease of a worker that had no work, until it answers. It outlasts
+# the time in which a successor of a dead controller meets the worker.
+FIRST_LEASE_S = 4.0
+# A worker looks for lapsed leases now and then, not at the very moment.
+LAPSE_SLACK_MS = 500
 CONTENT_TYPE = "application/x-msgpack"
 
 
@@ -56,6 +61,7 @@
     ``report`` is the latest report and ``heard_s`` the moment at which the
     call that brought it was sent. ``lease_end_s`` is the latest moment at
     which the worker can still be running anything for this controller.
+    ``silent`` tells that the last call got no answer.
     """
 
     def __init__(
@@ -76,7 +82,8 @@
         self._http = http
         self._reported = reported
         self._received_s = 0.0
-        self._silent = False
+        self._busy_since_s = float("-inf")
+        self.silent = False
         self._wake = asyncio.Event()
 
     @staticmethod
@@ -102,19 +109,45 @@
         return self.report.clock_ms + int(elapsed_s * 1000)
 
     def lease_ms(self) -> int:
-        """Grant a lease; return its end on the worker's clock, or 0."""
+        """Grant a lease; return its end on the worker's clock, or 0.
+
+        Nothing is granted to a silent agent, since a call without an answer
+        may have granted its lease all the same.
+        """
         clock_ms = self.clock_ms()
         now = now_s()
+        lease_s = self._lease_s()
         since_s = min(now, self._terms.alone_until_s())
-        left_s = since_s + self._terms.lease_limit_s - now
-        if not clock_ms or left_s <= 0:
+        left_s = since_s + lease_s - now
+        if self.silent or not clock_ms or left_s <= 0:
             return 0
         self.lease_end_s = max(
-            self.lease_end_s,
-            since_s + self._longest(self._terms.lease_limit_s),
+            self.lease_end_s, since_s + self._longest(lease_s)
         )
         return clock_ms + int(left_s * 1000)
 
+    def _lease_s(self) -> float:
+        """Return a short lease until the worker has answered with work."""
+        limit_s = self._terms.lease_limit_s
+        if self.heard_s is None or self.heard_s < self._busy_since_s:
+            return min(FIRST_LEASE_S, limit_s)
+        return limit_s
+
+    def is_lapsed(self) -> bool:
+        """Tell whether every lease of a silent worker has run out.
+
+        Leases that earlier processes of the agent passed on are from before
+        the last look that was answered.
+        """
+        report = self.report
+        if report is None or not report.silent:
+            return False
+        limit_ms = int(self._terms.lease_limit_s * 1000)
+        ends_ms = max(report.granted_ms, report.looked_ms + limit_ms)
+        # The agent's estimate may run ahead of a slow clock.
+        ahead_ms = CLOCK_SLOWNESS * (report.clock_ms - report.looked_ms)
+        return report.clock_ms - ahead_ms > ends_ms + LAPSE_SLACK_MS
+
     def note(self, number: int) -> None:
         """Let the worker forget its ends up to a number."""
         if number > self.noted:
@@ -124,6 +157,7 @@
     def set_busy(self, busy: bool) -> None:
         """Tell whether this controller has work at the worker."""
         if busy and not self.busy:
+            self._busy_since_s = now_s()
             self._wake.set()
         self.busy = busy
 
@@ -158,8 +192,8 @@
 
     def _note_silence(self, reason: str) -> None:
         """Log the first call of several that the agent did not answer."""
-        if not self._silent:
-            self._silent = True
+        if not self.silent:
+            self.silent = True
             self._terms.log.write(
                 "agent silent",
                 address=self.address,
@@ -168,8 +202,8 @@
             )
 
     def _take(self, report: WorkerReport, sent_s: float) -> None:
-        if self._silent:
-            self._silent = False
+        if self.silent:
+            self.silent = False
             self._terms.log.write(
                 "agent answers", address=self.address, worker=report.worker
             )
@@ -191,7 +225,7 @@
             seen=0 if self.report is None else self.report.number,
             noted=self.noted,
             busy=self.busy,
-            wait_s=0.0 if fresh else wait_s,
+            wait_s=0.0 if fresh or self.silent else wait_s,
         )
         return await self._call(
             "watch", order, order.wait_s + WATCH_SLACK_S, WorkerReport
@@ -234,6 +268,7 @@
         answer = await self._call(call, order, ORDER_TIMEOUT_S, OrderAnswer)
         if isinstance(answer, OrderAnswer):
             return answer
+        self._note_silence(answer)
         return OrderAnswer(OrderOutcome.UNKNOWN, reason=answer)
 
     async def _call(
--- a/hickorywing/orders.py
+++ b/hickorywing/orders.py
@@ -126,7 +126,10 @@
     incarnation that has surely ended. ``clock_ms`` is the
     agent's estimate of the worker's clock now, ``looked_ms`` the worker's
     clock at the last look, from which the two lists are. ``epoch`` is the
-    highest epoch that the agent has heard of.
+    highest epoch that the agent has heard of. ``silent`` tells that the worker
+    left the last look without an answer; meanwhile the agent passes on neither
+    leases nor starts. ``granted_ms`` is the end of the longest lease that this
+    process of the agent has passed on.
     """
 
     number: int = 0
@@ -141,5 +144,7 @@
     remaining_ms: int = 0
     clock_ms: int = 0
     looked_ms: int = 0
+    silent: bool = False
+    granted_ms: int = 0
     running: tuple[RunningRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -143,7 +143,7 @@
             end_s = self._earlier_leases_end_s
             if link is not None:
                 end_s = link.lease_end_s + LEASE_SLACK_S
-            if now > end_s:
+            if now > end_s or (link is not None and link.is_lapsed()):
                 self.jobs.end_member(item, Ending.LAPSED)
 
     def _may_place(self) -> bool:
--- a/hickorywing/runplanning.py
+++ b/hickorywing/runplanning.py
@@ -137,7 +137,9 @@
             and report.worker == name
             and report.clock_ms > 0
             and not report.draining
+            and not report.silent
             and report.zone not in self._view.zones_out
+            and not link.silent
             and link.silent_s() < WORKER_SILENT_S
             and self._orders.trusts(name)
             and not self._health.is_bad(name, now_s())
--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from dataclasses import dataclass
 import time
 from typing import Any
@@ -22,6 +24,8 @@
 
 __all__ = ["PlatformWorkerStandin", "StartRecord"]
 
+Handler = Callable[[Request], Awaitable[Response]]
+
 BEAT_S = 0.3
 BEAT_TIMEOUT_S = 1.0
 TICK_S = 0.01
@@ -73,6 +77,7 @@
         self.state = "ready"
         self.remaining_ms = 0
         self.lose_answers = 0
+        self.gone = False
         self._pool = pool
         self._zone = zone
         self._agent = agent
@@ -95,6 +100,11 @@
         """Lose everything and start again under the same name."""
         self._restart()
 
+    def vanish(self) -> None:
+        """Lose everything and never announce itself or answer again."""
+        self.gone = True
+        self._runs.clear()
+
     def clock_ms(self) -> int:
         """Return the worker's clock."""
         return int((time.monotonic() - self._began_s) * 1000)
@@ -110,11 +120,22 @@
     def make_app(self) -> Application:
         """Return the application."""
         app = make_app()
-        add_route(app, "POST", "/run-start", self.handle_start)
-        add_route(app, "POST", "/run-stop", self.handle_stop)
-        add_route(app, "POST", "/hold", self.handle_hold)
+        for path, handle in (
+            ("/run-start", self.handle_start),
+            ("/run-stop", self.handle_stop),
+            ("/hold", self.handle_hold),
+        ):
+            add_route(app, "POST", path, self._guard(handle))
         return app
 
+    def _guard(self, handle: Handler) -> Handler:
+        """Answer nothing of use once the worker has vanished."""
+
+        async def guarded(request: Request) -> Response:
+            return Response(500) if self.gone else await handle(request)
+
+        return guarded
+
     async def run(self) -> None:
         """Announce itself and let its runs end, until cancelled."""
         http = HttpClient()
@@ -125,7 +146,7 @@
 
     async def _beat(self, http: HttpClient) -> None:
         url = f"http://{self._agent}/instances/{self.name}"
-        while True:
+        while not self.gone:
             self._sequence += 1
             body = {
                 "service": self._pool,
--- a/hickorywing/workerwatch.py
+++ b/hickorywing/workerwatch.py
@@ -59,6 +59,7 @@
         self._look: Look | None = None
         self._clock: ClockReading | None = None
         self._lease_ms = 0
+        self._granted_ms = 0
         self._noted = 0
         self._busy = False
         self._silent = False
@@ -112,6 +113,7 @@
         self._look = None
         self._clock = None
         self._lease_ms = 0
+        self._granted_ms = 0
         self._noted = 0
         self._log.write(
             "worker announced",
@@ -147,13 +149,14 @@
     async def _look_once(self, announcement: Announcement) -> None:
         wait_s = LOOK_WAIT_S if self._present and self._look else 0.0
         epoch = self.epoch
+        lease_ms = self._pass_on(self._lease_ms)
         self._interrupt.clear()
         try:
             look = await self._await_look(
                 self._worker.look(
                     announcement.name,
                     epoch,
-                    self._lease_ms,
+                    lease_ms,
                     self._noted,
                     wait_s,
                 )
@@ -177,6 +180,17 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), NOTE_WAIT_S)
 
+    def _pass_on(self, lease_ms: int) -> int:
+        """Return the lease that a call to the worker may carry.
+
+        A call without an answer may still extend the lease, so a silent worker
+        gets no more of them, and everything on it ends at a known time.
+        """
+        if self._silent:
+            return 0
+        self._granted_ms = max(self._granted_ms, lease_ms)
+        return lease_ms
+
     async def _await_look(
         self, looking: Coroutine[None, None, Look]
     ) -> Look | None:
@@ -200,11 +214,13 @@
         if not self._silent:
             self._silent = True
             self._log.write("worker silent", worker=self.key, reason=reason)
+            self._tell()
 
     def _take_look(self, look: Look, epoch: int) -> None:
         if self._silent:
             self._silent = False
             self._log.write("worker answers", worker=self.key)
+            self._tell()
         last = self._look
         self._look = look
         self._clock = ClockReading(look.clock_ms, now_s())
@@ -265,6 +281,8 @@
             remaining_ms=announcement.remaining_ms,
             clock_ms=0 if self._clock is None else self._clock.estimate_ms(),
             looked_ms=look.clock_ms,
+            silent=self._silent,
+            granted_ms=self._granted_ms,
             running=look.running,
             ended=tuple(end for end in look.ended if end.number > self._noted),
         )
@@ -282,6 +300,7 @@
             )
             return OrderAnswer(refused)
         self._busy = True
+        self._pass_on(order.lease_ms)
         answer = await self._worker.start(order, self.announcement.name)
         self._wake.set()
         return answer
@@ -291,7 +310,7 @@
             return OrderOutcome.OLD_EPOCH
         if self.announcement is None or order.worker != self.key:
             return OrderOutcome.OTHER_WORKER
-        if self.announcement.draining:
+        if self.announcement.draining or self._silent:
             return OrderOutcome.REFUSED
         clock = self._clock
         if clock is None or clock.estimate_ms() > order.expires_ms:
--- a/tests/test_agentlink.py
+++ b/tests/test_agentlink.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hickorywing.agentlink import AgentLink
+from hickorywing.agentlink import FIRST_LEASE_S
 from hickorywing.agentlink import LinkTerms
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
@@ -47,3 +48,65 @@
         before_s = link.lease_end_s
         assert link.lease_ms() == 0
         assert link.lease_end_s == before_s
+
+
+class TestSilence:
+    """A worker that stays away is given up one lease after its last grant.
+
+    The load: VMs lose power or are cut off while urgent jobs are placed.
+    """
+
+    def test_calls_to_a_silent_agent_grant_nothing(self):
+        link = make_link(1.0)
+        link.lease_ms()
+        before_s = link.lease_end_s
+        link._note_silence("no answer")
+        assert link.lease_ms() == 0
+        assert link.lease_end_s == before_s
+
+    def test_an_answer_ends_the_silence(self):
+        link = make_link(1.0)
+        link._note_silence("no answer")
+        assert link.silent
+        link._take(WorkerReport(worker="w", clock_ms=CLOCK_MS), now_s())
+        assert not link.silent
+        assert link.lease_ms()
+
+    def test_the_first_lease_of_an_idle_worker_is_short(self):
+        link = make_link(1.0)
+        link.set_busy(True)
+        granted_ms = link.lease_ms() - CLOCK_MS
+        assert granted_ms == pytest.approx(1000 * FIRST_LEASE_S, abs=100)
+        link._take(WorkerReport(worker="w", clock_ms=CLOCK_MS), now_s())
+        granted_ms = link.lease_ms() - CLOCK_MS
+        assert granted_ms == pytest.approx(1000 * LEASE_LIMIT_S, abs=100)
+
+    def test_a_silent_worker_behind_its_agent(self):
+        link = make_link(1.0)
+        for clock_ms, silent, lapsed in (
+            (CLOCK_MS + 9_900, True, False),
+            (CLOCK_MS + 10_500, True, False),
+            (CLOCK_MS + 13_000, False, False),
+            (CLOCK_MS + 13_000, True, True),
+        ):
+            report = WorkerReport(
+                worker="w",
+                clock_ms=clock_ms,
+                looked_ms=CLOCK_MS,
+                silent=silent,
+                granted_ms=CLOCK_MS + 9_000,
+            )
+            link._take(report, now_s())
+            assert link.is_lapsed() is lapsed
+
+    def test_a_lease_that_was_passed_on_late(self):
+        link = make_link(1.0)
+        report = WorkerReport(
+            worker="w",
+            clock_ms=CLOCK_MS + 13_000,
+            looked_ms=CLOCK_MS,
+            silent=True,
+            granted_ms=CLOCK_MS + 13_000,
+        )
+        link._take(report, now_s())
+        assert not link.is_lapsed()
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -195,6 +195,24 @@
             assert system.worker(ending).running()
             await system.wait_status(JOB + "0", "completed")
 
+    async def test_worker_that_never_returns_is_given_up(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
+            await system.submit(JOB + "3", run_s=30)
+            await system.wait(lambda: system.starts())
+            system.worker(system.starts()[0].worker).vanish()
+            # The longest lease, on a clock that may be slow, and a margin.
+            await system.wait(lambda: len(system.starts()) == 2, 13.0)
+
+    async def test_vm_that_never_returns_is_given_up(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
+            await system.submit(JOB + "2", run_s=30)
+            await system.wait(lambda: system.starts())
+            lost = system.starts()[0].worker
+            system.kill(lost.removeprefix("i-"))
+            # The longest lease, on a clock that may be slow, and a margin.
+            await system.wait(lambda: len(system.starts()) == 2, 13.0)
+            assert not system.worker(lost).running()
+
     async def test_silent_agent_is_logged_once_each_way(self, tmp_path):
         async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
 
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -53,6 +53,9 @@
     def clock_ms(self) -> int:
         return self.now_ms
 
+    def is_lapsed(self) -> bool:
+        return False
+
     async def stop(self, worker: str, task: str, run: int) -> OrderAnswer:
         self.stops.append((worker, task, run))
         return OrderAnswer(OrderOutcome.OK, self.now_ms)
--- a/tests/test_workerwatch.py
+++ b/tests/test_workerwatch.py
@@ -24,6 +24,8 @@
         self.silent = False
         self.epochs: list[int] = []
         self.starts: list[StartOrder] = []
+        self.leases: list[int] = []
+        self.renewed = asyncio.Event()
 
     async def start(self, order: StartOrder, name: str) -> OrderAnswer:
         self.starts.append(order)
@@ -36,6 +38,9 @@
         if self.silent:
             raise WorkerSilent("no answer")
         self.epochs.append(epoch)
+        self.leases.append(lease_ms)
+        if lease_ms:
+            self.renewed.set()
         await asyncio.sleep(wait_s)
         return Look(1000, self.born_ms, (), ())
 
@@ -75,7 +80,18 @@
         self.task.cancel()
         await asyncio.gather(self.task, return_exceptions=True)
 
-    async def ask(self, epoch=1, busy=False, wait_s=0.5):
+    async def lose_worker(self) -> None:
+        """Have a worker with a lease stop answering."""
+        self.watch.announce(announce())
+        await self.ask(busy=True, lease_ms=5000)
+        async with asyncio.timeout(3):
+            await self.worker.renewed.wait()
+        self.worker.silent = True
+        report = await self.ask(busy=True)
+        while not report.silent:
+            report = await self.ask(busy=True)
+
+    async def ask(self, epoch=1, busy=False, wait_s=0.5, lease_ms=0):
         order = WatchOrder(
             pool="p",
             epoch=epoch,
@@ -83,6 +99,7 @@
             seen=self.watch._number,
             busy=busy,
             wait_s=wait_s,
+            lease_ms=lease_ms,
         )
         return await self.watch.watch(order)
 
@@ -180,3 +197,25 @@
         async with Agent() as agent:
             agent.watch.announce(announce(born_ms=300))
             assert await agent.start() is OrderOutcome.OTHER_WORKER
+
+    async def test_refuses_while_the_worker_is_silent(self):
+        async with Agent() as agent:
+            await agent.lose_worker()
+            assert await agent.start() is OrderOutcome.REFUSED
+            assert not agent.worker.starts
+
+
+class TestSilence:
+    """A silent worker's leases end at a time that the controller is told."""
+
+    async def test_no_lease_is_passed_on(self):
+        async with Agent() as agent:
+            await agent.lose_worker()
+            report = await agent.ask(busy=True, wait_s=0.0, lease_ms=9000)
+            assert report.silent
+            assert report.granted_ms == 5000
+            agent.worker.silent = False
+            while report.silent:
+                report = await agent.ask(busy=True, lease_ms=9000)
+            await agent.ask(busy=True, wait_s=0.2, lease_ms=9000)
+            assert agent.worker.leases[-1] == 9000
