Read a job's status again after a gap in its feed

Cause: an entry took every job that it had accepted, and of which its feed had brought nothing, for pending. After the feed had lost its history, or when a late repeat of a submission reached an entry that had started after the job's end, no change ever came, and the entry showed an ended job as pending for good. Ruled out: the controller (status stored at 27.6 s), the feeds of the other two entries (they brought the change).

Change: pending is assumed only while the feed that was followed before the job was written goes on. Otherwise the row is read, and kept if the feed has brought every change since.

Failed first: the two tests of TestFeedGaps that drop history and repeat late.

--- a/hickorywing/jobdesk.py
+++ b/hickorywing/jobdesk.py
@@ -80,6 +80,7 @@
             )
             return answer_outcome(Outcome.NOT_RUN)
         key = job_key(pool, job.job_id)
+        feed = self._cache.feed
         transaction = RowTransaction(
             (RowExpectation(key, 0),), (RowWrite(key, encode_job(job)),)
         )
@@ -89,8 +90,8 @@
         if isinstance(result, Mismatch) and result.find(key) is None:
             result = Refused()
         outcome = read_outcome(result)
-        if outcome is Outcome.DONE:
-            self._cache.note_accepted(pool, job.job_id)
+        if isinstance(result, Committed):
+            self._cache.note_accepted(pool, job.job_id, feed)
         took_s = now_s() - started_s
         self._metrics.observe("accept_seconds", took_s, outcome=outcome)
         self._log.write(
--- a/hickorywing/statuscache.py
+++ b/hickorywing/statuscache.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
+from dataclasses import dataclass
 
 import msgspec
 
@@ -19,7 +20,7 @@
 from hickorywing.rows import StoredRow
 from hickorywing.rows import StoreUnavailable
 
-__all__ = ["StatusCache"]
+__all__ = ["Feed", "StatusCache"]
 
 RETRY_S = 0.2
 FEED_WAIT_S = 2.0
@@ -27,15 +28,24 @@
 KEPT_STATUSES = 50_000
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class Feed:
+    """The changes that are followed without a gap since a version."""
+
+    since: int
+
+
 class StatusCache:
     """What one entry knows of jobs' statuses.
 
     A status in the cache is the latest one that the feed brought. For a job
     that is not there, the rows in the store decide, so a young cache never
-    makes an accepted job unknown.
+    makes an accepted job unknown. What was read from the rows is kept only if
+    the feed has brought every change since.
     """
 
     def __init__(self, store: RowStore, log: DecisionLog) -> None:
+        self.feed: Feed | None = None
         self._store = store
         self._log = log
         self._statuses: OrderedDict[RowKey, JobStatus] = OrderedDict()
@@ -44,15 +54,15 @@
 
     async def run(self) -> None:
         """Follow the jobs' progress until cancelled."""
-        version: int | None = None
+        version = 0
         while True:
             try:
-                if version is None:
+                if self.feed is None:
                     version = await self._begin()
                 page = await self._store.follow(PROGRESS, version, FEED_WAIT_S)
             except HistoryLost:
                 self._log.write("feed lost its history", table=PROGRESS)
-                version = None
+                self._forget()
                 continue
             except StoreUnavailable:
                 await asyncio.sleep(RETRY_S)
@@ -62,25 +72,44 @@
                 self._take(row)
 
     async def _begin(self) -> int:
-        """Forget what may be out of date; return the version to follow."""
-        self._statuses.clear()
-        self._counts.clear()
+        """Begin to follow; return the version from which on."""
         # Any row's answer carries the newest version of the store.
         read = await self._store.read_part(PROGRESS, "", "~", "~\0")
+        self._forget()
+        self.feed = Feed(read.version)
         return read.version
 
+    def _forget(self) -> None:
+        """Forget what may be out of date after a gap in the feed."""
+        self.feed = None
+        self._statuses.clear()
+        self._counts.clear()
+
     def _take(self, row: StoredRow) -> None:
         if row.value is None:
             return
         if row.key.key.startswith(QUEUE_PREFIX):
             self._counts[row.key] = msgspec.msgpack.decode(row.value, type=int)
             return
-        self._statuses[row.key] = decode_status(row.value)
+        self._set_status(row.key, decode_status(row.value))
+
+    def _set_status(self, key: RowKey, status: JobStatus) -> None:
+        self._statuses[key] = status
         if len(self._statuses) > KEPT_STATUSES:
             self._statuses.popitem(last=False)
 
-    def note_accepted(self, pool: str, job_id: str) -> None:
-        """Remember that a job was accepted."""
+    def note_accepted(self, pool: str, job_id: str, feed: Feed | None) -> None:
+        """Remember that a job was accepted just now.
+
+        ``feed`` is the one that was followed before the job was written, which
+        brings whatever becomes of it.
+        """
+        self._note_known(pool, job_id)
+        key = progress_key(pool, job_id)
+        if feed is not None and feed is self.feed:
+            self._statuses.setdefault(key, JobStatus.PENDING)
+
+    def _note_known(self, pool: str, job_id: str) -> None:
         self._known[job_key(pool, job_id)] = None
         if len(self._known) > KEPT_STATUSES:
             self._known.popitem(last=False)
@@ -92,7 +121,7 @@
             return True
         if await self._store.read_row(key) is None:
             return False
-        self.note_accepted(pool, job_id)
+        self._note_known(pool, job_id)
         return True
 
     async def find(self, pool: str, job_id: str) -> JobStatus | None:
@@ -101,25 +130,34 @@
         Raises ``StoreUnavailable`` when that can't be known now.
         """
         key = progress_key(pool, job_id)
-        status = self._statuses.get(key)
-        if status is not None:
-            return status
-        if job_key(pool, job_id) in self._known:
-            return JobStatus.PENDING
-        row = await self._store.read_row(key)
-        if row is not None and row.value is not None:
-            return decode_status(row.value)
-        if not await self.exists(pool, job_id):
+        if key in self._statuses:
+            return self._statuses[key]
+        feed = self.feed
+        read = await self._store.read_part(
+            key.table, key.part, key.key, key.key + "\0"
+        )
+        status = JobStatus.PENDING
+        if read.rows and read.rows[0].value is not None:
+            status = decode_status(read.rows[0].value)
+        elif not await self.exists(pool, job_id):
             return None
-        return JobStatus.PENDING
+        if feed is not None and feed is self.feed:
+            # The feed may have brought a newer status meanwhile.
+            status = self._statuses.get(key, status)
+            if read.version >= feed.since:
+                self._set_status(key, status)
+        return status
 
     async def count_waiting(self, pool: str, queue: str) -> int:
         """Return how many jobs of a queue have not begun."""
         key = queue_key(pool, queue)
         if key not in self._counts:
+            feed = self.feed
             row = await self._store.read_row(key)
             count = 0
             if row is not None and row.value is not None:
                 count = msgspec.msgpack.decode(row.value, type=int)
+            if feed is None or feed is not self.feed:
+                return count
             self._counts.setdefault(key, count)
         return self._counts[key]
--- a/tests/test_jobdesk.py
+++ b/tests/test_jobdesk.py
@@ -1,12 +1,17 @@
 """Acceptance of jobs when the store's answers are lost or late."""
 
+import asyncio
+
 from poolhelpers import make_job
 
 from hickorywing.decisions import DecisionLog
 from hickorywing.jobdesk import JobDesk
 from hickorywing.jobdesk import Outcome
+from hickorywing.jobrows import encode_progress
 from hickorywing.jobrows import job_key
+from hickorywing.jobrows import progress_key
 from hickorywing.metrics import Metrics
+from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.standins.rowstore import MemoryRowStore
 from hickorywing.standins.rowstore import StoreFault
@@ -96,6 +101,63 @@
         assert answer.outcome is Outcome.NOT_RUN
 
 
+class TestFeedGaps:
+    """Changes that the feed did not bring are read from the rows.
+
+    The load: the store drops its history while jobs end and callers ask.
+    """
+
+    async def follow(self, store: MemoryRowStore) -> tuple:
+        """Return a desk and its cache, which has begun to follow."""
+        log = DecisionLog("test", "entry", Metrics("test"), Quiet())
+        cache = StatusCache(store, log)
+        task = asyncio.ensure_future(cache.run())
+        await asyncio.sleep(0.01)
+        return JobDesk(store, cache, log, Metrics("test")), task
+
+    def end_job(self, store: MemoryRowStore) -> None:
+        state = JobState(make_job(), 1, 0.0)
+        state.status = JobStatus.COMPLETED
+        store.put(progress_key("p", "j1"), encode_progress(state))
+
+    async def ask(self, desk: JobDesk) -> JobStatus:
+        return (await desk.find_status("p", "j1")).status
+
+    async def test_end_in_a_dropped_part_of_the_history(self):
+        store = MemoryRowStore()
+        desk, task = await self.follow(store)
+        await desk.submit(make_job(), 1.0)
+        assert await self.ask(desk) is JobStatus.PENDING
+        store.down = True
+        await asyncio.sleep(0.01)
+        self.end_job(store)
+        store.forget_history()
+        store.down = False
+        await asyncio.sleep(0.5)
+        assert await self.ask(desk) is JobStatus.COMPLETED
+        task.cancel()
+
+    async def test_late_repeat_of_a_job_that_has_ended(self):
+        store = MemoryRowStore()
+        await make_desk(store).submit(make_job(), 1.0)
+        self.end_job(store)
+        desk, task = await self.follow(store)
+        await desk.submit(make_job(), 1.0)
+        assert await self.ask(desk) is JobStatus.COMPLETED
+        task.cancel()
+
+    async def test_rows_are_read_once(self):
+        store = MemoryRowStore()
+        await make_desk(store).submit(make_job(), 1.0)
+        desk, task = await self.follow(store)
+        assert await self.ask(desk) is JobStatus.PENDING
+        self.end_job(store)
+        await asyncio.sleep(0.01)
+        store.down = True
+        assert await self.ask(desk) is JobStatus.COMPLETED
+        task.cancel()
+
+
 class TestCancel:
     """A cancelled job stays cancelled, also if it is accepted later."""
 
