Look at a silent worker until it answers

Cause: an agent stops looking at a worker without work. One that fell silent just then, as after the agent itself was frozen for longer than a lease, was never looked at again: it got no new work, and the ends that it listed were never taken in. Ruled out: the controller (it saw "worker silent" and no more), the worker (it answers).

Change: silence is a reason to look.

The test of a silence that ends without work failed first.

--- a/hickorywing/workerwatch.py
+++ b/hickorywing/workerwatch.py
@@ -140,12 +140,16 @@
         """Look at the worker while there is a reason to, until cancelled."""
         while True:
             announcement = self.announcement
-            if announcement is None or (self._present and not self._busy):
+            if announcement is None or not self._has_reason_to_look():
                 self._wake.clear()
                 await self._wake.wait()
                 continue
             await self._look_once(announcement)
 
+    def _has_reason_to_look(self) -> bool:
+        """Tell whether a look may bring news, or end a silence."""
+        return self._busy or self._silent or not self._present
+
     async def _look_once(self, announcement: Announcement) -> None:
         wait_s = LOOK_WAIT_S if self._present and self._look else 0.0
         epoch = self.epoch
--- a/tests/test_workerwatch.py
+++ b/tests/test_workerwatch.py
@@ -208,6 +208,16 @@
 class TestSilence:
     """A silent worker's leases end at a time that the controller is told."""
 
+    async def test_ends_without_work_there(self):
+        async with Agent() as agent:
+            await agent.lose_worker()
+            await agent.ask(busy=False, wait_s=0.0)
+            await asyncio.sleep(0.2)
+            agent.worker.silent = False
+            async with asyncio.timeout(3):
+                while (await agent.ask(busy=False)).silent:
+                    pass
+
     async def test_no_lease_is_passed_on(self):
         async with Agent() as agent:
             await agent.lose_worker()
