Follow a worker's first lease with a whole one at once

Cause: the first watch after a worker had got work waited for news, up to a second, before the short first lease was followed by a whole one. Ruled out: the agent (it passed on what it had), the workers.

Change: that watch asks for an answer at once.

The test of the second lease failed first.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -129,9 +129,11 @@
     def _lease_s(self) -> float:
         """Return a short lease until the worker has answered with work."""
         limit_s = self._terms.lease_limit_s
-        if self.heard_s is None or self.heard_s < self._busy_since_s:
-            return min(FIRST_LEASE_S, limit_s)
-        return limit_s
+        return limit_s if self._is_proven() else min(FIRST_LEASE_S, limit_s)
+
+    def _is_proven(self) -> bool:
+        """Tell whether the agent has answered since there is work."""
+        return self.heard_s is not None and self.heard_s >= self._busy_since_s
 
     def is_lapsed(self) -> bool:
         """Tell whether every lease of a silent worker has run out.
@@ -215,8 +217,9 @@
         self._reported(self, report)
 
     async def _watch(self) -> WorkerReport | str:
-        fresh = self.report is None
         wait_s = BUSY_WATCH_S if self.busy else IDLE_WATCH_S
+        if self.silent or not self._is_proven():
+            wait_s = 0.0
         order = WatchOrder(
             pool=self._terms.pool,
             epoch=self._terms.epoch,
@@ -225,7 +228,7 @@
             seen=0 if self.report is None else self.report.number,
             noted=self.noted,
             busy=self.busy,
-            wait_s=0.0 if fresh or self.silent else wait_s,
+            wait_s=wait_s,
         )
         return await self._call(
             "watch", order, order.wait_s + WATCH_SLACK_S, WorkerReport
--- a/tests/test_agentlink.py
+++ b/tests/test_agentlink.py
@@ -1,5 +1,6 @@
 """Leases that a controller grants through an agent."""
 
+import msgspec
 import pytest
 
 from hickorywing.agentlink import AgentLink
@@ -7,8 +8,10 @@
 from hickorywing.agentlink import LinkTerms
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
+from hickorywing.httpclient import HttpAnswer
 from hickorywing.httpclient import HttpClient
 from hickorywing.metrics import Metrics
+from hickorywing.orders import WatchOrder
 from hickorywing.orders import WorkerReport
 
 LEASE_LIMIT_S = 10.0
@@ -30,6 +33,18 @@
     return link
 
 
+class AnsweringAgent:
+    """Answers each watch at once, and keeps them."""
+
+    def __init__(self) -> None:
+        self.orders: list[WatchOrder] = []
+
+    async def call(self, method, url, timeout_s, body, **_) -> HttpAnswer:
+        self.orders.append(msgspec.msgpack.decode(body, type=WatchOrder))
+        report = WorkerReport(worker="w", clock_ms=CLOCK_MS)
+        return HttpAnswer(200, msgspec.msgpack.encode(report))
+
+
 class TestLeases:
     """A lease ends before a successor gives the worker up."""
 
@@ -81,6 +96,19 @@
         granted_ms = link.lease_ms() - CLOCK_MS
         assert granted_ms == pytest.approx(1000 * LEASE_LIMIT_S, abs=100)
 
+    async def test_the_second_lease_follows_at_once(self):
+        link = make_link(1.0)
+        link._http = AnsweringAgent()
+        link.set_busy(True)
+        await link._watch_once()
+        await link._watch_once()
+        first, second = link._http.orders
+        assert first.wait_s == 0
+        assert second.wait_s > 0
+        granted_ms = second.lease_ms - first.lease_ms
+        expected_ms = 1000 * (LEASE_LIMIT_S - FIRST_LEASE_S)
+        assert granted_ms == pytest.approx(expected_ms, abs=100)
+
     def test_a_silent_worker_behind_its_agent(self):
         link = make_link(1.0)
         for clock_ms, silent, lapsed in (
