Give log lines a typed catalogue, and measure waits, stops and leases

A holder read which other entries there are only every 10 s, so one that starts just after it wasn't offered the role; it now reads after 0.5, 1, 2 and 4 s first.

New on the metrics address: the wait for a place, the time from a preemption to its room, from a listed end to its row, and the age of the role's lease.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -10,6 +10,7 @@
 from hickorywing.decisions import DecisionLog
 from hickorywing.httpclient import CallError
 from hickorywing.httpclient import HttpClient
+from hickorywing.logevents import LogEvent
 from hickorywing.orders import Order
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
@@ -197,7 +198,7 @@
         if not self.silent:
             self.silent = True
             self._terms.log.write(
-                "agent silent",
+                LogEvent.AGENT_SILENT,
                 address=self.address,
                 worker=self.worker,
                 reason=reason,
@@ -207,7 +208,9 @@
         if self.silent:
             self.silent = False
             self._terms.log.write(
-                "agent answers", address=self.address, worker=report.worker
+                LogEvent.AGENT_ANSWERS,
+                address=self.address,
+                worker=report.worker,
             )
         if self.report is None or report.worker != self.report.worker:
             self.noted = 0
--- a/hickorywing/committer.py
+++ b/hickorywing/committer.py
@@ -15,6 +15,7 @@
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
 from hickorywing.jobrows import epoch_key
+from hickorywing.logevents import LogEvent
 from hickorywing.poollease import PoolLease
 from hickorywing.rows import commit_checked
 from hickorywing.rows import Committed
@@ -143,7 +144,7 @@
                 continue
             doubtful = doubtful or isinstance(answer, Unknown)
             self._log.write(
-                "commit failed",
+                LogEvent.COMMIT_FAILED,
                 outcome=type(answer).__name__.lower(),
                 rows=len(values),
                 tried_s=round(self.stuck_s(), 3),
--- a/hickorywing/decisions.py
+++ b/hickorywing/decisions.py
@@ -13,6 +13,7 @@
 
 import structlog
 
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 
 __all__ = ["BoundedOutput", "DecisionLog"]
@@ -92,7 +93,7 @@
             role=role,
         )
 
-    def write(self, event: str, **facts: Any) -> None:
+    def write(self, event: LogEvent, **facts: Any) -> None:
         """Log one event, unless its kind has used up its rate."""
         allowance = self._refill(event)
         if allowance.lines < 1:
--- a/hickorywing/explain.py
+++ b/hickorywing/explain.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from hickorywing.logevents import LogEvent
 from hickorywing.policy.poolmodel import vm_of
 
 __all__ = ["Account", "LogLine", "explain_job", "format_account"]
@@ -47,30 +48,30 @@
 # Events without a job that explain what happens to jobs.
 CONTEXT_EVENTS = frozenset(
     {
-        "agent answers",
-        "agent silent",
-        "commit failed",
-        "configuration taken",
-        "epoch seen",
-        "feed lost its history",
-        "renewal failed",
-        "role handed over",
-        "role lost",
-        "role not taken",
-        "role released",
-        "role taken",
-        "started",
-        "stopping",
-        "store lost",
-        "store regained",
-        "worker answers",
-        "worker draining",
-        "worker found",
-        "worker left",
-        "worker set aside",
-        "worker silent",
-        "zone in",
-        "zone out",
+        LogEvent.AGENT_ANSWERS,
+        LogEvent.AGENT_SILENT,
+        LogEvent.COMMIT_FAILED,
+        LogEvent.CONFIGURATION_TAKEN,
+        LogEvent.EPOCH_SEEN,
+        LogEvent.FEED_LOST_ITS_HISTORY,
+        LogEvent.RENEWAL_FAILED,
+        LogEvent.ROLE_HANDED_OVER,
+        LogEvent.ROLE_LOST,
+        LogEvent.ROLE_NOT_TAKEN,
+        LogEvent.ROLE_RELEASED,
+        LogEvent.ROLE_TAKEN,
+        LogEvent.STARTED,
+        LogEvent.STOPPING,
+        LogEvent.STORE_LOST,
+        LogEvent.STORE_REGAINED,
+        LogEvent.WORKER_ANSWERS,
+        LogEvent.WORKER_DRAINING,
+        LogEvent.WORKER_FOUND,
+        LogEvent.WORKER_LEFT,
+        LogEvent.WORKER_SET_ASIDE,
+        LogEvent.WORKER_SILENT,
+        LogEvent.ZONE_IN,
+        LogEvent.ZONE_OUT,
     }
 )
 
@@ -156,9 +157,9 @@
     missing = []
     if not own:
         return ["no line names the job"]
-    if "job submitted" not in events:
+    if LogEvent.JOB_SUBMITTED not in events:
         missing.append("no entry logged the submission")
-    if "job status" not in events:
+    if LogEvent.JOB_STATUS not in events:
         missing.append("no controller logged a change of status")
     processes = {line.process for line in known}
     vms = {vm_of(worker) for worker in find_workers(own)}
--- a/hickorywing/handover.py
+++ b/hickorywing/handover.py
@@ -22,6 +22,7 @@
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobrows import ENTRIES
 from hickorywing.jobrows import entry_key
+from hickorywing.logevents import LogEvent
 from hickorywing.poollease import OfferOutcome
 from hickorywing.poollease import PoolLease
 from hickorywing.rows import Committed
@@ -104,7 +105,7 @@
         try:
             read = await self._store.read_part(ENTRIES, "")
         except StoreUnavailable as error:
-            self._log.write("peers not read", error=str(error))
+            self._log.write(LogEvent.PEERS_NOT_READ, error=str(error))
             return
         self.addresses = {
             row.key.key: row.value.decode()
@@ -172,7 +173,7 @@
         read = await self._read_epoch(offer.pool)
         answer = answer_offer(offer, read, lease)
         self._log.write(
-            "role offered",
+            LogEvent.ROLE_OFFERED,
             pool=offer.pool,
             epoch=offer.epoch,
             read=read,
--- a/hickorywing/jobdesk.py
+++ b/hickorywing/jobdesk.py
@@ -13,6 +13,7 @@
 from hickorywing.jobrows import cancel_key
 from hickorywing.jobrows import encode_job
 from hickorywing.jobrows import job_key
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.policy.poolmodel import PoolJob
 from hickorywing.policy.poolruns import JobStatus
@@ -76,7 +77,7 @@
         pool = job.terms.pool
         if not self._store.is_reachable():
             self._log.write(
-                "refused", job=job.job_id, reason="store not reachable"
+                LogEvent.REFUSED, job=job.job_id, reason="store not reachable"
             )
             return answer_outcome(Outcome.NOT_RUN)
         key = job_key(pool, job.job_id)
@@ -95,7 +96,7 @@
         took_s = now_s() - started_s
         self._metrics.observe("accept_seconds", took_s, outcome=outcome)
         self._log.write(
-            "job submitted",
+            LogEvent.JOB_SUBMITTED,
             job=job.job_id,
             queue=job.terms.queue,
             customer=job.customer,
@@ -125,7 +126,7 @@
                     outcome = Outcome.UNKNOWN_JOB
             except StoreUnavailable:
                 outcome = Outcome.UNKNOWN
-        self._log.write("cancel asked", job=job_id, outcome=outcome)
+        self._log.write(LogEvent.CANCEL_ASKED, job=job_id, outcome=outcome)
         return answer_outcome(outcome)
 
     async def find_status(self, pool: str, job_id: str) -> Answer:
@@ -133,10 +134,12 @@
         try:
             status = await self._cache.find(pool, job_id)
         except StoreUnavailable as error:
-            self._log.write("status not known", job=job_id, error=str(error))
+            self._log.write(
+                LogEvent.STATUS_NOT_KNOWN, job=job_id, error=str(error)
+            )
             return answer_outcome(Outcome.NOT_RUN)
         if status is None:
-            self._log.write("no such job", job=job_id)
+            self._log.write(LogEvent.NO_SUCH_JOB, job=job_id)
             return Answer(Outcome.UNKNOWN_JOB)
         return Answer(Outcome.DONE, status=status)
 
--- a/hickorywing/livejobs.py
+++ b/hickorywing/livejobs.py
@@ -11,6 +11,7 @@
 from hickorywing.jobrows import encode_progress
 from hickorywing.jobrows import job_key
 from hickorywing.jobrows import progress_key
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.policy.poolhealth import WorkerHealth
 from hickorywing.policy.poolmodel import Step
@@ -87,7 +88,7 @@
             self._cancel(state)
         if not restored:
             self._log.write(
-                "job seen",
+                LogEvent.JOB_SEEN,
                 job=job.job_id,
                 queue=job.terms.queue,
                 customer=job.customer,
@@ -105,14 +106,14 @@
     def _cancel(self, state: JobState) -> None:
         if not state.cancelled:
             state.cancelled = True
-            self._log.write("job cancelled", job=state.job.job_id)
+            self._log.write(LogEvent.JOB_CANCELLED, job=state.job.job_id)
             self._settle(state)
 
     def _settle(self, state: JobState) -> None:
         """Work out a job's status after a change and store it."""
         if state.update_status():
             self._log.write(
-                "job status", job=state.job.job_id, status=state.status
+                LogEvent.JOB_STATUS, job=state.job.job_id, status=state.status
             )
             self._metrics.count("jobs", status=state.status)
         if state.final:
@@ -146,7 +147,7 @@
                 )
             )
         if ended:
-            self._log.write("jobs forgotten", jobs=len(ended))
+            self._log.write(LogEvent.JOBS_FORGOTTEN, jobs=len(ended))
 
     def open_members(self) -> Iterator[OpenMember]:
         """Return what may be at work; it may change meanwhile."""
@@ -178,7 +179,7 @@
         unit.end(member, ending, saved)
         self._note_health(state, member, ending)
         self._log.write(
-            "run ended",
+            LogEvent.RUN_ENDED,
             task=item.task,
             run=unit.run,
             worker=member.worker,
@@ -186,6 +187,10 @@
             stopping=unit.stopping,
         )
         self._metrics.count("runs_ended", how=ending)
+        if not unit.running and unit.displaced_at_s is not None:
+            self._metrics.observe(
+                "preemption_seconds", now_s() - unit.displaced_at_s
+            )
         if not unit.running and not unit.done:
             unit.waiting_since_s = now_s()
         self._settle(state)
@@ -202,7 +207,7 @@
             state.note_failed(worker, now_s())
             self._health.note_failed(worker, state.job.job_id, now_s())
             if self._health.is_bad(worker, now_s()) and not was_bad:
-                self._log.write("worker set aside", worker=worker)
+                self._log.write(LogEvent.WORKER_SET_ASIDE, worker=worker)
 
     def note_save(self, item: OpenMember, saved: str) -> None:
         """Take in what a running member has saved."""
--- /dev/null
+++ b/hickorywing/logevents.py
@@ -0,0 +1,90 @@
+"""The kinds of lines that the pool programs log.
+
+One line is written for each decision that touches a request or changes what a
+process believes; nothing is written for a heartbeat, a look, a watch or a
+renewed lease. ``docs/OPERATIONS.md`` tells which facts each line has.
+"""
+
+import enum
+
+__all__ = ["LogEvent"]
+
+
+class LogEvent(enum.StrEnum):
+    """What a line is about; the value stands in its ``event``."""
+
+    # A process starts, stops or takes in its settings.
+    STARTING = "starting"
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    RELOAD = "reload"
+    PART_DIED = "part died"
+
+    # A request of a caller is answered.
+    REFUSED = "refused"
+    JOB_SUBMITTED = "job submitted"
+    CANCEL_ASKED = "cancel asked"
+    STATUS_NOT_KNOWN = "status not known"
+    NO_SUCH_JOB = "no such job"
+
+    # The configuration changes.
+    CONFIGURATION_TAKEN = "configuration taken"
+    CONFIGURATION_UNREADABLE = "configuration unreadable"
+    ZONE_OUT = "zone out"
+    ZONE_IN = "zone in"
+
+    # The store is lost, or answers again.
+    STORE_LOST = "store lost"
+    STORE_REGAINED = "store regained"
+    STORE_UNAVAILABLE = "store unavailable"
+    FEED_LOST_ITS_HISTORY = "feed lost its history"
+    COMMIT_FAILED = "commit failed"
+
+    # The controller's role changes hands.
+    ROLE_TAKEN = "role taken"
+    ROLE_LOST = "role lost"
+    ROLE_RELEASED = "role released"
+    ROLE_OFFERED = "role offered"
+    ROLE_HANDED_OVER = "role handed over"
+    ROLE_NOT_TAKEN = "role not taken"
+    RENEWAL_FAILED = "renewal failed"
+    LOAD_FAILED = "load failed"
+    JOBS_LOADED = "jobs loaded"
+    PEERS_NOT_READ = "peers not read"
+
+    # Agents and workers come and go.
+    AGENT_REGISTERED = "agent registered"
+    AGENT_FOUND = "agent found"
+    AGENT_SILENT = "agent silent"
+    AGENT_ANSWERS = "agent answers"
+    WORKER_ANNOUNCED = "worker announced"
+    WORKER_FOUND = "worker found"
+    WORKER_LEFT = "worker left"
+    WORKER_DRAINING = "worker draining"
+    WORKER_BACK = "worker back"
+    WORKER_SILENT = "worker silent"
+    WORKER_ANSWERS = "worker answers"
+    WORKER_SET_ASIDE = "worker set aside"
+    EPOCH_SEEN = "epoch seen"
+
+    # A job is taken in or ends.
+    JOB_SEEN = "job seen"
+    JOB_UNREADABLE = "job unreadable"
+    JOB_CANCELLED = "job cancelled"
+    JOB_STATUS = "job status"
+    JOBS_FORGOTTEN = "jobs forgotten"
+
+    # A run is placed, stopped or ends.
+    RUN_PLACED = "run placed"
+    START_REFUSED = "start refused"
+    START_ANSWERED = "start answered"
+    STOP_ANSWERED = "stop answered"
+    RUN_PREEMPTED = "run preempted"
+    RUN_MOVED = "run moved"
+    RUN_STALLED = "run stalled"
+    RUN_ENDED = "run ended"
+    ENDING_NOT_KNOWN = "ending not known"
+    END_OF_ANOTHER_RUN = "end of another run"
+    STRAY_RUN = "stray run"
+    STRAY_RUN_STOPPED = "stray run stopped"
--- a/hickorywing/platform/callers.py
+++ b/hickorywing/platform/callers.py
@@ -17,6 +17,7 @@
 from hickorywing.jobdesk import Answer
 from hickorywing.jobdesk import JobDesk
 from hickorywing.jobdesk import Outcome
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.policy.poolmodel import Customer
 from hickorywing.policy.poolmodel import PoolJob
@@ -132,7 +133,8 @@
         ):
             known = self._view.proved_s is not None
             self._log.write(
-                "refused",
+                LogEvent.REFUSED,
+                job=guess_job_id(request),
                 reason="configuration too old",
                 age_s=round(age_s, 3) if known else None,
             )
@@ -155,7 +157,8 @@
         queue = self._view.find_queue(host, path)
         if queue is None:
             self._log.write(
-                "refused",
+                LogEvent.REFUSED,
+                job=guess_job_id(request),
                 reason="no such queue",
                 host=host,
                 path=path,
@@ -179,7 +182,8 @@
         customer = self._view.find_customer(key)
         if customer is None and not request.scope[QUEUE_SCOPE].public:
             self._log.write(
-                "refused",
+                LogEvent.REFUSED,
+                job=guess_job_id(request),
                 reason="unknown key",
                 config=self._view.configuration.version,
                 age_s=round(self._view.age_s(now_s()), 3),
@@ -231,6 +235,13 @@
         limit = self._view.configuration.limits.body_bytes
         body = await request.read() or b""
         if len(body) > limit:
+            self._log.write(
+                LogEvent.REFUSED,
+                job=job_id,
+                reason="body too large",
+                bytes=len(body),
+                limit=limit,
+            )
             return Response(413)
         customer: Customer | None = request.scope[CUSTOMER_SCOPE]
         try:
@@ -238,7 +249,10 @@
             job = decode_job(job_id, queue, customer, wire)
         except (msgspec.DecodeError, ValueError) as error:
             self._log.write(
-                "refused", job=job_id, reason="unreadable", error=str(error)
+                LogEvent.REFUSED,
+                job=job_id,
+                reason="unreadable",
+                error=str(error),
             )
             return Response(400)
         patience_s = read_patience_s(request, queue)
@@ -274,6 +288,15 @@
     return None if found is None else found.group()
 
 
+def guess_job_id(request: Request) -> str:
+    """Return the last part of a path if it looks like a job's id.
+
+    Before its queue is known, a refused request is found by that id.
+    """
+    last = request.url.path.decode("latin-1").rpartition("/")[2]
+    return last if JOB_ID.fullmatch(last) else ""
+
+
 def read_patience_s(request: Request, queue: Queue) -> float:
     """Return how long the caller waits for an answer."""
     said = find_header(request.headers, TIME_LIMIT_HEADER) or ""
--- a/hickorywing/platform/configsource.py
+++ b/hickorywing/platform/configsource.py
@@ -4,6 +4,7 @@
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
+from hickorywing.logevents import LogEvent
 from hickorywing.platform.operator import CONFIG_KEY
 from hickorywing.platform.operator import decode_configuration
 from hickorywing.platform.operator import decode_zone_out
@@ -48,7 +49,9 @@
             try:
                 version = await self._step(version)
             except HistoryLost:
-                self._log.write("feed lost its history", table=OPERATOR_TABLE)
+                self._log.write(
+                    LogEvent.FEED_LOST_ITS_HISTORY, table=OPERATOR_TABLE
+                )
                 version = None
             except StoreUnavailable as error:
                 self._note_lost(str(error))
@@ -80,7 +83,7 @@
             out = row.value is not None
             if self._view.set_zone(zone, out):
                 self._log.write(
-                    "zone out" if out else "zone in",
+                    LogEvent.ZONE_OUT if out else LogEvent.ZONE_IN,
                     zone=zone,
                     version=row.version,
                 )
@@ -90,10 +93,10 @@
     def _take_configuration(self, row: StoredRow) -> None:
         configuration = decode_configuration(row.value)
         if configuration is None:
-            self._log.write("configuration unreadable", row=row.version)
+            self._log.write(LogEvent.CONFIGURATION_UNREADABLE, row=row.version)
         elif self._view.accept(configuration):
             self._log.write(
-                "configuration taken",
+                LogEvent.CONFIGURATION_TAKEN,
                 config=configuration.version,
                 row=row.version,
                 queues=len(configuration.queues),
@@ -103,7 +106,7 @@
     def _note_lost(self, reason: str) -> None:
         if self._reachable:
             self._reachable = False
-            self._log.write("store lost", reason=reason)
+            self._log.write(LogEvent.STORE_LOST, reason=reason)
 
     def _note_regained(self) -> None:
         if not self._reachable:
@@ -111,5 +114,6 @@
             known = self._view.proved_s is not None
             age_s = self._view.age_s(now_s())
             self._log.write(
-                "store regained", age_s=round(age_s, 3) if known else None
+                LogEvent.STORE_REGAINED,
+                age_s=round(age_s, 3) if known else None,
             )
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -114,7 +114,8 @@
     ``committed`` tells whether the place of the present run is stored; no
     start may be ordered before. ``stopping`` names why the run is being
     closed although it has not ended by itself; ``stalls`` counts how often
-    that was because it stood still.
+    that was because it stood still. ``displaced_at_s`` is the moment at which
+    it was told to give way to another unit.
     """
 
     job_id: str
@@ -131,6 +132,7 @@
     stopping: str = ""
     waiting_since_s: float = 0.0
     placed_at_s: float = 0.0
+    displaced_at_s: float | None = None
     stalls: int = 0
 
     @property
@@ -172,6 +174,7 @@
         ]
         self.committed = False
         self.stopping = ""
+        self.displaced_at_s = None
         self.placed_at_s = now_s
 
     def end(self, member: Member, ending: Ending, saved: str = "") -> None:
--- a/hickorywing/poolagent.py
+++ b/hickorywing/poolagent.py
@@ -18,6 +18,7 @@
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobrows import AgentRow
 from hickorywing.jobrows import AGENTS
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.orders import StartOrder
 from hickorywing.orders import StopOrder
@@ -100,7 +101,7 @@
         try:
             present = await store.read_row(key)
         except StoreUnavailable as error:
-            log.write("store unavailable", error=str(error))
+            log.write(LogEvent.STORE_UNAVAILABLE, error=str(error))
             await asyncio.sleep(RETRY_S)
             continue
         if present is not None and present.value == value:
@@ -109,7 +110,9 @@
             RowTransaction((), (RowWrite(key, value),))
         )
         if isinstance(answer, Committed):
-            log.write("agent registered", address=row.address, pool=row.pool)
+            log.write(
+                LogEvent.AGENT_REGISTERED, address=row.address, pool=row.pool
+            )
             return
         await asyncio.sleep(RETRY_S)
 
@@ -126,7 +129,9 @@
     async def run(self) -> None:
         """Serve until asked to stop."""
         settings = self._settings
-        self._log.write("starting", zone=settings.zone, pool=settings.pool)
+        self._log.write(
+            LogEvent.STARTING, zone=settings.zone, pool=settings.pool
+        )
         http = HttpClient()
         store = PlatformStore(settings.store, http, self._metrics)
         watch = WorkerWatch(
@@ -153,22 +158,22 @@
                 self._report,
             ),
         ]
-        self._log.write("started")
+        self._log.write(LogEvent.STARTED)
         await wait_for_stop(self._reload)
-        self._log.write("stopping")
+        self._log.write(LogEvent.STOPPING)
         watch.close()
         await asyncio.gather(*(server.stop() for server in servers))
         await cancel_tasks(tasks)
         await http.close()
-        self._log.write("stopped")
+        self._log.write(LogEvent.STOPPED)
 
     def _reload(self) -> None:
         """Say at a SIGHUP what has changed in the settings."""
         found = describe_reload(self._path, PoolAgentSettings, self._settings)
-        self._log.write("reload", **found)
+        self._log.write(LogEvent.RELOAD, **found)
 
     def _report(self, trace: str) -> None:
-        self._log.write("part died", trace=trace)
+        self._log.write(LogEvent.PART_DIED, trace=trace)
 
 
 def run_agent(settings: Path) -> None:
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -32,6 +32,7 @@
 from hickorywing.jobrows import REQUESTS
 from hickorywing.jobrows import restore_progress
 from hickorywing.jobrows import split_request_key
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
@@ -54,6 +55,8 @@
 COUNT_EVERY_S = 0.5
 # An entry that is new matters only if the store turns this one away just then.
 PEERS_EVERY_S = 10.0
+# Entries often start together, and the first holder before the others.
+FIRST_PEERS_S = 0.5
 SWEEP_EVERY_S = 10.0
 # Agents answer a new controller within a few round trips and one look at
 # their worker; those that are away are not waited for.
@@ -98,7 +101,9 @@
         offer = RoleOffer(self.pool, epoch)
         outcome = await offer_role(offer, self._parts.peers, self._parts.http)
         self._parts.log.write(
-            "role handed over" if outcome.successor else "role not taken",
+            LogEvent.ROLE_HANDED_OVER
+            if outcome.successor
+            else LogEvent.ROLE_NOT_TAKEN,
             pool=self.pool,
             epoch=epoch,
             asked=sorted(self._parts.peers.addresses),
@@ -116,9 +121,11 @@
 
     async def _refresh_peers(self) -> None:
         """Follow which entries there are, any of which may be a successor."""
+        pause_s = FIRST_PEERS_S
         while True:
             await self._parts.peers.refresh()
-            await asyncio.sleep(PEERS_EVERY_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, PEERS_EVERY_S)
 
 
 class Term:
@@ -130,6 +137,7 @@
         self._lease = lease
         self._store = parts.store
         self._http = parts.http
+        self._metrics = parts.metrics
         self._log = log
         self._links: dict[str, tuple[AgentLink, asyncio.Task[None]]] = {}
         self._link_terms = LinkTerms(
@@ -199,7 +207,7 @@
                 requests = await self._store.read_part(REQUESTS, self._pool)
                 progress = await self._store.read_part(PROGRESS, self._pool)
             except StoreUnavailable as error:
-                self._log.write("load failed", error=str(error))
+                self._log.write(LogEvent.LOAD_FAILED, error=str(error))
                 await asyncio.sleep(RETRY_S)
                 continue
             rows = {row.key.key: row for row in progress.rows}
@@ -208,7 +216,7 @@
             for row in progress.rows:
                 self._committer.versions[row.key] = row.version
             self._log.write(
-                "jobs loaded",
+                LogEvent.JOBS_LOADED,
                 pool=self._pool,
                 epoch=self._lease.epoch,
                 jobs=len(self._runs.jobs.accepted),
@@ -244,7 +252,7 @@
     async def _read_again(
         self, table: str
     ) -> tuple[tuple[StoredRow, ...], int] | None:
-        self._log.write("feed lost its history", table=table)
+        self._log.write(LogEvent.FEED_LOST_ITS_HISTORY, table=table)
         try:
             read = await self._store.read_part(table, self._pool)
         except StoreUnavailable:
@@ -269,7 +277,9 @@
         try:
             job = decode_job(row.value)
         except msgspec.DecodeError as error:
-            self._log.write("job unreadable", job=job_id, error=str(error))
+            self._log.write(
+                LogEvent.JOB_UNREADABLE, job=job_id, error=str(error)
+            )
             return
         state = JobState(job, row.version, now_s())
         stored = None if progress is None else progress.get(job_id)
@@ -309,7 +319,9 @@
             self._runs.reports.take,
         )
         self._links[name] = (link, asyncio.ensure_future(link.run()))
-        self._log.write("agent found", agent=name, address=agent.address)
+        self._log.write(
+            LogEvent.AGENT_FOUND, agent=name, address=agent.address
+        )
 
     async def _tick(self) -> None:
         """Do what depends on time alone."""
@@ -320,6 +332,9 @@
             if now_s() - counted_s >= COUNT_EVERY_S:
                 counted_s = now_s()
                 self._publish_counts()
+                self._metrics.set(
+                    "role_lease_age_seconds", self._lease.unconfirmed_s()
+                )
             if now_s() - swept_s >= SWEEP_EVERY_S:
                 swept_s = now_s()
                 self._runs.jobs.forget_ended()
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -18,6 +18,7 @@
 from hickorywing.handover import PeerBook
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobdesk import JobDesk
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.platform.callers import CallerApi
 from hickorywing.platform.callers import CallerTerms
@@ -74,7 +75,7 @@
     async def run(self) -> None:
         """Serve until asked to stop, and finish what is in progress."""
         settings = self._settings
-        self._log.write("starting", zone=settings.zone)
+        self._log.write(LogEvent.STARTING, zone=settings.zone)
         http = HttpClient()
         store = PlatformStore(settings.store, http, self._metrics)
         cache = StatusCache(store, self._log)
@@ -103,26 +104,26 @@
         ]
         for server in [front, *others]:
             await server.start()
-        self._log.write("started")
+        self._log.write(LogEvent.STARTED)
         await wait_for_stop(self._reload)
         await self._stop(front, tasks)
         await asyncio.gather(*(server.stop() for server in others))
         await http.close()
-        self._log.write("stopped")
+        self._log.write(LogEvent.STOPPED)
 
     def _reload(self) -> None:
         """Say at a SIGHUP what has changed in the settings."""
         found = describe_reload(self._path, PoolEntrySettings, self._settings)
-        self._log.write("reload", **found)
+        self._log.write(LogEvent.RELOAD, **found)
 
     def _report(self, trace: str) -> None:
-        self._log.write("part died", trace=trace)
+        self._log.write(LogEvent.PART_DIED, trace=trace)
 
     async def _stop(
         self, front: WebServer, tasks: list[asyncio.Task[None]]
     ) -> None:
         """Hand the pools over, then finish the requests in progress."""
-        self._log.write("stopping")
+        self._log.write(LogEvent.STOPPING)
         self._leaving = True
         for controller, _ in self._controllers.values():
             await controller.lease.release()
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -20,6 +20,7 @@
 from hickorywing.jobrows import lease_key
 from hickorywing.jobrows import LeaseRow
 from hickorywing.jobrows import LEASES
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.rows import CHECK_AFTER_S
 from hickorywing.rows import Commit
@@ -125,7 +126,10 @@
         """Give the role up because another holder was seen."""
         if not self._lost.is_set():
             self._log.write(
-                "role lost", pool=self.pool, epoch=self.epoch, reason=reason
+                LogEvent.ROLE_LOST,
+                pool=self.pool,
+                epoch=self.epoch,
+                reason=reason,
             )
             self._lost.set()
 
@@ -169,7 +173,7 @@
             self._transaction(LeaseRow("", self.epoch, self._renewal + 1))
         )
         self._log.write(
-            "role released",
+            LogEvent.ROLE_RELEASED,
             pool=self.pool,
             epoch=self.epoch,
             outcome=name_of_outcome(answer),
@@ -266,7 +270,10 @@
         self._tried_since_s = None
         self._vouched_s = 0.0
         self._log.write(
-            "role taken", pool=self.pool, epoch=epoch, previous=lease.holder
+            LogEvent.ROLE_TAKEN,
+            pool=self.pool,
+            epoch=epoch,
+            previous=lease.holder,
         )
         return True
 
@@ -295,7 +302,7 @@
             return self._recognise(answer.find(lease_key(self.pool)))
         self._metrics.count("lease_renewals_failed", pool=self.pool)
         self._log.write(
-            "renewal failed",
+            LogEvent.RENEWAL_FAILED,
             pool=self.pool,
             epoch=self.epoch,
             outcome=name_of_outcome(answer),
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -13,6 +13,7 @@
 from hickorywing.committer import Committer
 from hickorywing.decisions import DecisionLog
 from hickorywing.livejobs import LiveJobs
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.policy.poolhealth import WorkerHealth
 from hickorywing.policy.poolplanner import Assignment
@@ -169,7 +170,7 @@
         unit.place(list(assignment.workers), now_s())
         state = self.jobs.live[unit.job_id]
         self._log.write(
-            "run placed",
+            LogEvent.RUN_PLACED,
             job=unit.job_id,
             occurrence=unit.occurrence,
             step=unit.step,
@@ -179,6 +180,9 @@
             config=self._view.configuration.version,
             waited_s=round(now_s() - unit.waiting_since_s, 3),
         )
+        self._metrics.observe(
+            "placement_wait_seconds", now_s() - unit.waiting_since_s
+        )
         run = unit.run
 
         def commit() -> None:
@@ -193,8 +197,9 @@
 
     def _preempt(self, victim: Unit, unit: Unit) -> None:
         victim.stopping = f"gives way to {unit.job_id}"
+        victim.displaced_at_s = now_s()
         self._log.write(
-            "run preempted", job=victim.job_id, run=victim.run,
+            LogEvent.RUN_PREEMPTED, job=victim.job_id, run=victim.run,
             step=victim.step, first=victim.first, gives_way_to=unit.job_id,
         )  # fmt: skip
         self._metrics.count("preemptions")
--- a/hickorywing/runorders.py
+++ b/hickorywing/runorders.py
@@ -14,6 +14,7 @@
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
 from hickorywing.livejobs import OpenMember
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
@@ -92,12 +93,14 @@
         key = ("stray", worker, run.task, run.run)
         if key in self._under_way:
             return
-        self._log.write("stray run", task=run.task, run=run.run, worker=worker)
+        self._log.write(
+            LogEvent.STRAY_RUN, task=run.task, run=run.run, worker=worker
+        )
 
         async def stop() -> None:
             answer = await link.stop(worker, run.task, run.run)
             self._log.write(
-                "stray run stopped",
+                LogEvent.STRAY_RUN_STOPPED,
                 task=run.task,
                 run=run.run,
                 worker=worker,
@@ -136,7 +139,7 @@
             member.worker, item.task, run, item.state.job.payload, unit.saved
         )
         self._metrics.observe("order_seconds", now_s() - sent_s, order="start")
-        self._log_order("start answered", item, run, answer)
+        self._log_order(LogEvent.START_ANSWERED, item, run, answer)
         if unit.run != run or member.ending is not None:
             return
         if answer.outcome is OrderOutcome.OK:
@@ -166,7 +169,7 @@
     async def _stop(self, item: OpenMember, link: AgentLink) -> None:
         unit, member, run = item.unit, item.member, item.unit.run
         answer = await link.stop(member.worker, item.task, run)
-        self._log_order("stop answered", item, run, answer)
+        self._log_order(LogEvent.STOP_ANSWERED, item, run, answer)
         if answer.outcome is OrderOutcome.OK and unit.run == run:
             member.stopped_ms = answer.clock_ms
         elif answer.outcome is OrderOutcome.OLD_EPOCH:
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -8,6 +8,7 @@
 from hickorywing.knownworker import KnownWorker
 from hickorywing.livejobs import LiveJobs
 from hickorywing.livejobs import OpenMember
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.orders import EndedRun
 from hickorywing.orders import RunningRun
@@ -87,7 +88,7 @@
             if should_move(unit, item.step, now, leaves_s):
                 unit.stopping = "its worker leaves"
                 self._log.write(
-                    "run moved",
+                    LogEvent.RUN_MOVED,
                     task=item.task,
                     run=unit.run,
                     worker=report.worker,
@@ -108,7 +109,7 @@
 
     def _forget_worker(self, worker: str) -> None:
         """Take in that a worker has left; what ran on it is lost."""
-        self._log.write("worker left", worker=worker)
+        self._log.write(LogEvent.WORKER_LEFT, worker=worker)
         self._drop(worker)
         for item in list(self._jobs.open_members()):
             if item.member.worker == worker:
@@ -129,7 +130,7 @@
         self._workers[report.worker] = link
         self._known[report.worker] = KnownWorker()
         self._log.write(
-            "worker found",
+            LogEvent.WORKER_FOUND,
             worker=report.worker,
             replaces=gone,
             zone=report.zone,
@@ -163,13 +164,19 @@
         if not self._known[report.worker].is_new_end(end):
             return
 
+        listed_s = now_s()
+
         def note() -> None:
+            self._metrics.observe("end_to_noted_seconds", now_s() - listed_s)
             self._note_end(link, report.worker, end.number)
 
         item = self._jobs.find(end.task, end.run, report.worker)
         if item is None:
             self._log.write(
-                "end of another run", task=end.task, run=end.run, how=end.how
+                LogEvent.END_OF_ANOTHER_RUN,
+                task=end.task,
+                run=end.run,
+                how=end.how,
             )
             note()
             return
@@ -184,7 +191,9 @@
         try:
             return Ending(end.how)
         except ValueError:
-            self._log.write("ending not known", task=end.task, how=end.how)
+            self._log.write(
+                LogEvent.ENDING_NOT_KNOWN, task=end.task, how=end.how
+            )
             return Ending.STOPPED
 
     def _note_end(self, link: AgentLink, worker: str, number: int) -> None:
@@ -236,7 +245,7 @@
         unit.stalls += 1
         item.state.note_failed(item.member.worker, now)
         self._log.write(
-            "run stalled",
+            LogEvent.RUN_STALLED,
             task=item.task,
             run=unit.run,
             worker=item.member.worker,
--- a/hickorywing/statuscache.py
+++ b/hickorywing/statuscache.py
@@ -13,6 +13,7 @@
 from hickorywing.jobrows import progress_key
 from hickorywing.jobrows import queue_key
 from hickorywing.jobrows import QUEUE_PREFIX
+from hickorywing.logevents import LogEvent
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.rows import HistoryLost
 from hickorywing.rows import RowKey
@@ -61,7 +62,7 @@
                     version = await self._begin()
                 page = await self._store.follow(PROGRESS, version, FEED_WAIT_S)
             except HistoryLost:
-                self._log.write("feed lost its history", table=PROGRESS)
+                self._log.write(LogEvent.FEED_LOST_ITS_HISTORY, table=PROGRESS)
                 self._forget()
                 continue
             except StoreUnavailable:
--- a/hickorywing/workerwatch.py
+++ b/hickorywing/workerwatch.py
@@ -7,6 +7,7 @@
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
+from hickorywing.logevents import LogEvent
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
 from hickorywing.orders import StartOrder
@@ -94,7 +95,9 @@
             self._begin(announcement)
         elif announcement.draining != last.draining:
             self._log.write(
-                "worker draining" if announcement.draining else "worker back",
+                LogEvent.WORKER_DRAINING
+                if announcement.draining
+                else LogEvent.WORKER_BACK,
                 worker=self.key,
                 remaining_ms=announcement.remaining_ms,
             )
@@ -116,7 +119,7 @@
         self._granted_ms = 0
         self._noted = 0
         self._log.write(
-            "worker announced",
+            LogEvent.WORKER_ANNOUNCED,
             worker=self.key,
             replaces=self._left,
             pool=announcement.pool,
@@ -127,7 +130,7 @@
         """Note that a worker has left; its runs have ended with it."""
         if self.announcement is None or self.announcement.name != name:
             return
-        self._log.write("worker left", worker=self.key)
+        self._log.write(LogEvent.WORKER_LEFT, worker=self.key)
         self._left = self.key
         self.announcement = None
         self._present = False
@@ -217,13 +220,15 @@
     def _note_silence(self, reason: str) -> None:
         if not self._silent:
             self._silent = True
-            self._log.write("worker silent", worker=self.key, reason=reason)
+            self._log.write(
+                LogEvent.WORKER_SILENT, worker=self.key, reason=reason
+            )
             self._tell()
 
     def _take_look(self, look: Look, epoch: int) -> None:
         if self._silent:
             self._silent = False
-            self._log.write("worker answers", worker=self.key)
+            self._log.write(LogEvent.WORKER_ANSWERS, worker=self.key)
             self._tell()
         last = self._look
         self._look = look
@@ -244,7 +249,7 @@
     def _meet_epoch(self, epoch: int) -> bool:
         """Take in an order's epoch; tell whether it is the newest."""
         if epoch > self.epoch:
-            self._log.write("epoch seen", epoch=epoch, last=self.epoch)
+            self._log.write(LogEvent.EPOCH_SEEN, epoch=epoch, last=self.epoch)
             self.epoch = epoch
             self._present = False
             self._wake.set()
@@ -296,7 +301,7 @@
         refused = self._check_start(order)
         if refused is not None:
             self._log.write(
-                "start refused",
+                LogEvent.START_REFUSED,
                 task=order.task,
                 run=order.run,
                 epoch=order.epoch,
