Correct agents' clocks in accounts, and draw the time line of logs

explain sorted lines by the clocks of their processes, so with clocks that differ an agent's refusal could stand before the order. An epoch is seen after its role was taken and a worker is found after it was announced; these pairs bound an agent's clock, and the account names the correction. Contradicting pairs come from a clock that was set meanwhile; it is left alone then.

--- a/hickorywing/explain.py
+++ b/hickorywing/explain.py
@@ -1,47 +1,38 @@
 """Give one account of a job from the log lines of all processes.
 
-Lines may come from any number of files, in any order, with text before the
-JSON, as a collector of logs adds it. Lines that can't be read are counted.
+Lines that can't be read are counted. Clocks of VMs may differ: where the lines
+themselves show it, an agent's clock is corrected.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
-import datetime
-from typing import Any
-
-import msgspec
 
+from hickorywing.logclocks import correct_clocks
 from hickorywing.logevents import LogEvent
+from hickorywing.loglines import LogLine
+from hickorywing.loglines import read_line
 from hickorywing.policy.poolmodel import vm_of
 
-__all__ = ["Account", "LogLine", "explain_job", "format_account"]
+__all__ = ["Account", "explain_job", "format_account"]
 
 # Facts that every line has; the account prints them in columns.
 COMMON_FACTS = frozenset({"event", "process", "role", "timestamp", "job"})
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
-    """One event; ``at`` is by the clock of its process."""
-
-    at: datetime.datetime
-    process: str
-    event: str
-    facts: dict[str, Any]
-
-
 @dataclass(slots=True)
 class Account:
     """What the logs say of one job.
 
     ``lines`` are its own events and the changes of role, store and workers
-    between them. ``missing`` names what the logs should hold and do not.
+    between them. ``missing`` names what the logs should hold and do not;
+    ``clocks`` what was added to a process's clock, in seconds.
     """
 
     job_id: str
     lines: list[LogLine] = field(default_factory=list)
     missing: list[str] = field(default_factory=list)
+    clocks: dict[str, float] = field(default_factory=dict)
     unreadable: int = 0
 
 
@@ -76,19 +67,6 @@
 )
 
 
-def read_line(text: str) -> LogLine | None:
-    """Return the event in a line of text, if there is one."""
-    start = text.find("{")
-    if start < 0:
-        return None
-    try:
-        facts = msgspec.json.decode(text[start:].strip())
-        at = datetime.datetime.fromisoformat(facts["timestamp"])
-        return LogLine(at, facts["process"], facts["event"], facts)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
-        return None
-
-
 def names_job(line: LogLine, job_id: str) -> bool:
     """Tell whether a line is about a job or one of its tasks."""
     facts = line.facts
@@ -100,23 +78,31 @@
 def explain_job(job_id: str, texts: Iterable[str]) -> Account:
     """Return the account of a job."""
     account = Account(job_id)
-    own: list[LogLine] = []
-    context: list[LogLine] = []
+    lines: list[LogLine] = []
     for text in texts:
-        if not text.strip():
-            continue
         line = read_line(text)
-        if line is None:
+        if line is not None:
+            lines.append(line)
+        elif text.strip():
             account.unreadable += 1
-        elif names_job(line, job_id):
-            own.append(line)
-        elif line.event in CONTEXT_EVENTS:
-            context.append(line)
+    lines, shifts = correct_clocks(lines)
+    own = [line for line in lines if names_job(line, job_id)]
+    context = [
+        line
+        for line in lines
+        if line.event in CONTEXT_EVENTS and not names_job(line, job_id)
+    ]
     account.lines = sorted(
         own + select_context(own, context),
         key=lambda line: (line.at, line.process),
     )
     account.missing = find_missing(own, own + context)
+    shown = {line.process for line in account.lines}
+    account.clocks = {
+        process: shift_s
+        for process, shift_s in shifts.items()
+        if process in shown
+    }
     return account
 
 
@@ -180,6 +166,10 @@
         )
         clock = line.at.strftime("%H:%M:%S.%f")[:-3]
         lines.append(f"{clock}  {line.process:<14} {line.event:<20} {facts}")
+    lines.extend(
+        f"clock of {process} corrected by {shift_s:+g} s"
+        for process, shift_s in sorted(account.clocks.items())
+    )
     lines.extend(f"missing: {text}" for text in account.missing)
     if account.unreadable:
         lines.append(f"missing: {account.unreadable} lines can't be read")
--- a/hickorywing/ui.py
+++ b/hickorywing/ui.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-import datetime
 import enum
 import os
 from pathlib import Path
@@ -21,19 +20,22 @@
 import msgspec
 from returns.result import Failure
 from rich.console import Console
-from rich.table import Table as RichTable
 
 from hickorywing.client import Answer
 from hickorywing.client import Client
 from hickorywing.client import NotReachable
 from hickorywing.documents import load_document
 from hickorywing.errors import UserError
-from hickorywing.explain import explain_job
-from hickorywing.explain import format_account
 from hickorywing.filechecks import AnyDocument
 from hickorywing.filechecks import check_files
 from hickorywing.findings import FindingsError
 from hickorywing.rules import hash_token
+from hickorywing.uilogs import explain_logs
+from hickorywing.uilogs import show_log_timeline
+from hickorywing.uitables import print_change
+from hickorywing.uitables import print_jobs
+from hickorywing.uitables import print_status
+from hickorywing.uitables import print_timeline
 
 __all__ = ["ExitCode", "main"]
 
@@ -114,8 +116,19 @@
 @cappa.command(name="timeline")
 @dataclass
 class Timeline:
-    """Show the events of all processes in order of time."""
+    """Show the events of all processes in order of time.
 
+    With log files, or with - for standard input, of the pool programs they
+    come from there, else from an entry.
+    """
+
+    logs: Annotated[
+        list[str], cappa.Arg(help="Log files of pool programs.")
+    ] = field(default_factory=list)
+    plot: Annotated[
+        str,
+        cappa.Arg(long=True, help="Draw the events of logs into a PNG."),
+    ] = ""
     last: Annotated[
         int, cappa.Arg(long=True, help="How many of the latest events.")
     ] = 50
@@ -370,7 +383,7 @@
     }
     command = options.command
     if isinstance(command, Timeline):
-        print_timeline(command, answer.data())
+        print_timeline(answer.data(), command.last, command.subject)
     else:
         printers.get(type(command), print_change)(answer.data())
     return ExitCode.DONE
@@ -400,112 +413,6 @@
     print("\n".join(lines), file=sys.stderr)
 
 
-def make_console() -> Console:
-    """Return a console wide enough for tables when piped."""
-    width = None if sys.stdout.isatty() else 110
-    return Console(width=width)
-
-
-def make_table(*columns: str) -> RichTable:
-    """Return a plain table."""
-    table = RichTable(box=None, pad_edge=False)
-    for column in columns:
-        table.add_column(column)
-    return table
-
-
-def print_status(status: Any) -> None:
-    """Print zones and agents."""
-    console = make_console()
-    ago = status["config_confirmed_s_ago"]
-    console.print(
-        f"configuration {status['config_version']},"
-        f" confirmed {ago} s ago by {status['entry']}"
-    )
-    zones = make_table(
-        "zone", "service", "controller", "free", "queued", "agents"
-    )
-    for zone in status["zones"]:
-        zones.add_row(
-            zone["zone"],
-            "in" if zone["is_in"] else "OUT",
-            zone["controller"].partition("#")[0] or "none heard",
-            str(zone["free_accelerators"]),
-            str(zone["jobs_queued"]),
-            str(zone["agents"]),
-        )
-    console.print(zones)
-    agents = make_table("agent", "zone", "presence", "service", "worker")
-    for agent in status["agents"]:
-        agents.add_row(
-            agent["name"],
-            agent["zone"],
-            agent["presence"],
-            agent["service"],
-            agent["worker"],
-        )
-    console.print(agents)
-
-
-def print_jobs(data: Any) -> None:
-    """Print one job, a list of jobs, or what a cancellation did."""
-    if isinstance(data, dict) and "ended_already" in data:
-        print(f"cancelled {len(data['cancelled'])}", end="")
-        print(f", ended already {len(data['ended_already'])}")
-        return
-    rows = data if isinstance(data, list) else [data]
-    table = make_table("job", "status", "zone", "attempt", "gang", "workers")
-    for row in rows:
-        table.add_row(
-            row["id"],
-            row["status"],
-            row["zone"],
-            str(row["attempt"]),
-            f"{row['tasks']} x {row['accelerators']}",
-            ", ".join(row.get("workers", [])) or row.get("reason", ""),
-        )
-    make_console().print(table)
-
-
-def print_change(change: Any) -> None:
-    """Print who has a change of the configuration in force."""
-    print(f"version {change['version']} accepted in {change['waited_s']} s")
-    print(f"in force at {len(change['in_force'])} processes")
-    if change["not_confirmed"]:
-        print("not confirmed: " + ", ".join(change["not_confirmed"]))
-
-
-def print_timeline(command: Timeline, events: Any) -> None:
-    """Print events, oldest first."""
-    wanted = [
-        event
-        for event in events
-        if not command.subject or event["subject"] == command.subject
-    ]
-    for event in wanted[-command.last :]:
-        at = datetime.datetime.fromtimestamp(event["at"])
-        clock = at.strftime("%H:%M:%S.%f")[:-3]
-        line = f"{clock}  {event['process']:<12} {event['kind']:<22}"
-        line += f" {event['subject']}"
-        print(f"{line}  {event['detail']}".rstrip())
-
-
-def explain_logs(command: Explain, as_json: bool) -> ExitCode:
-    """Print the account of a job."""
-    texts: list[str] = []
-    for path in command.logs:
-        with open(path, encoding="utf-8", errors="replace") as log:
-            texts.extend(log)
-    if not command.logs:
-        texts.extend(sys.stdin)
-    account = explain_job(command.job, texts)
-    if as_json:
-        print(msgspec.json.encode(account).decode())
-    else:
-        print("\n".join(format_account(account)))
-    return ExitCode.DONE
-
-
 def run_command(options: Hickorywing) -> ExitCode:
     """Run one command and return its exit code."""
     command = options.command
@@ -513,7 +420,13 @@
         print(hash_token(command.token))
         return ExitCode.DONE
     if isinstance(command, Explain):
-        return explain_logs(command, options.json)
+        explain_logs(command.logs, command.job, options.json)
+        return ExitCode.DONE
+    if isinstance(command, Timeline) and command.logs:
+        show_log_timeline(
+            command.logs, command.last, command.subject, command.plot
+        )
+        return ExitCode.DONE
     if isinstance(command, Check):
         findings = check_files(command.files)
         if findings:
--- /dev/null
+++ b/hickorywing/uilogs.py
@@ -0,0 +1,46 @@
+"""Print and draw what the logs of the pool programs tell."""
+
+from pathlib import Path
+import sys
+
+import msgspec
+
+from hickorywing.explain import explain_job
+from hickorywing.explain import format_account
+from hickorywing.logtimeline import draw_timeline
+from hickorywing.logtimeline import format_line
+from hickorywing.logtimeline import read_timeline
+
+__all__ = ["explain_logs", "show_log_timeline"]
+
+
+def show_log_timeline(
+    names: list[str], last: int, subject: str, plot: str
+) -> None:
+    """Print the latest events in logs, and draw all if a file is named."""
+    lines = read_timeline(read_logs(names), subject)
+    if plot:
+        draw_timeline(lines, Path(plot))
+    for line in lines[-last:]:
+        print(format_line(line))
+
+
+def read_logs(names: list[str]) -> list[str]:
+    """Return the lines of log files; ``-`` is standard input."""
+    texts: list[str] = []
+    for name in names:
+        if name == "-":
+            texts.extend(sys.stdin)
+            continue
+        with open(name, encoding="utf-8", errors="replace") as log:
+            texts.extend(log)
+    return texts
+
+
+def explain_logs(names: list[str], job_id: str, as_json: bool) -> None:
+    """Print the account of a job from logs."""
+    account = explain_job(job_id, read_logs(names or ["-"]))
+    if as_json:
+        print(msgspec.json.encode(account).decode())
+    else:
+        print("\n".join(format_account(account)))
--- /dev/null
+++ b/hickorywing/uitables.py
@@ -0,0 +1,104 @@
+"""Print answers of entries as tables for people."""
+
+import datetime
+import sys
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table as RichTable
+
+__all__ = [
+    "make_console",
+    "print_change",
+    "print_jobs",
+    "print_status",
+    "print_timeline",
+]
+
+
+def make_console() -> Console:
+    """Return a console wide enough for tables when piped."""
+    width = None if sys.stdout.isatty() else 110
+    return Console(width=width)
+
+
+def make_table(*columns: str) -> RichTable:
+    """Return a plain table."""
+    table = RichTable(box=None, pad_edge=False)
+    for column in columns:
+        table.add_column(column)
+    return table
+
+
+def print_status(status: Any) -> None:
+    """Print zones and agents."""
+    console = make_console()
+    ago = status["config_confirmed_s_ago"]
+    console.print(
+        f"configuration {status['config_version']},"
+        f" confirmed {ago} s ago by {status['entry']}"
+    )
+    zones = make_table(
+        "zone", "service", "controller", "free", "queued", "agents"
+    )
+    for zone in status["zones"]:
+        zones.add_row(
+            zone["zone"],
+            "in" if zone["is_in"] else "OUT",
+            zone["controller"].partition("#")[0] or "none heard",
+            str(zone["free_accelerators"]),
+            str(zone["jobs_queued"]),
+            str(zone["agents"]),
+        )
+    console.print(zones)
+    agents = make_table("agent", "zone", "presence", "service", "worker")
+    for agent in status["agents"]:
+        agents.add_row(
+            agent["name"],
+            agent["zone"],
+            agent["presence"],
+            agent["service"],
+            agent["worker"],
+        )
+    console.print(agents)
+
+
+def print_jobs(data: Any) -> None:
+    """Print one job, a list of jobs, or what a cancellation did."""
+    if isinstance(data, dict) and "ended_already" in data:
+        print(f"cancelled {len(data['cancelled'])}", end="")
+        print(f", ended already {len(data['ended_already'])}")
+        return
+    rows = data if isinstance(data, list) else [data]
+    table = make_table("job", "status", "zone", "attempt", "gang", "workers")
+    for row in rows:
+        table.add_row(
+            row["id"],
+            row["status"],
+            row["zone"],
+            str(row["attempt"]),
+            f"{row['tasks']} x {row['accelerators']}",
+            ", ".join(row.get("workers", [])) or row.get("reason", ""),
+        )
+    make_console().print(table)
+
+
+def print_change(change: Any) -> None:
+    """Print who has a change of the configuration in force."""
+    print(f"version {change['version']} accepted in {change['waited_s']} s")
+    print(f"in force at {len(change['in_force'])} processes")
+    if change["not_confirmed"]:
+        print("not confirmed: " + ", ".join(change["not_confirmed"]))
+
+
+def print_timeline(events: Any, last: int, subject: str) -> None:
+    """Print the latest events, of a subject if one is given, oldest first."""
+    wanted = [
+        event for event in events if not subject or event["subject"] == subject
+    ]
+    for event in wanted[-last:]:
+        at = datetime.datetime.fromtimestamp(event["at"])
+        clock = at.strftime("%H:%M:%S.%f")[:-3]
+        line = f"{clock}  {event['process']:<12} {event['kind']:<22}"
+        line += f" {event['subject']}"
+        print(f"{line}  {event['detail']}".rstrip())
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -48,3 +48,35 @@
         text = format_account(explain_job("a", LINES))
         assert text[0] == "job a"
         assert text[2].startswith("00:00:02.200  e1")
+
+
+class TestClocks:
+    """Agents' clocks are corrected where the lines show that they differ."""
+
+    def lines(self, seen: str, announced: str) -> list[str]:
+        return [
+            *LINES,
+            line("e1", "worker found", "02.3", '"worker":"v1/i-1@1"'),
+            line("v1", "epoch seen", seen, '"epoch":2'),
+            line("v1", "worker announced", announced, '"worker":"v1/i-1@1"'),
+        ]
+
+    def test_behind(self):
+        account = explain_job("a", self.lines("01.0", "00.5"))
+        assert account.clocks == {"v1": 1.2}
+        assert account.missing == []
+        assert "clock of v1 corrected by +1.2 s" in format_account(account)
+
+    def test_ahead(self):
+        account = explain_job("a", self.lines("08.0", "07.3"))
+        assert account.clocks == {"v1": -5.0}
+        events = [item.event for item in account.lines]
+        assert "epoch seen" in events
+
+    def test_no_difference_to_be_seen(self):
+        account = explain_job("a", self.lines("02.25", "01.0"))
+        assert account.clocks == {}
+
+    def test_clock_that_was_set_meanwhile(self):
+        account = explain_job("a", self.lines("01.0", "09.0"))
+        assert account.clocks == {}
