Test the lines of what processes seldom decide

Runs that stand still, leave or are not known, ends and endings that are not known, workers that leave, fail two jobs or fall silent, commits without an answer, feeds with a gap and a released role: each leaves its line with what decided. No product code.

--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -1,5 +1,7 @@
 """Builders for tests of the pool's decisions."""
 
+import json
+
 from hickorywing.policy.poolguarantees import find_covered
 from hickorywing.policy.poolguarantees import rank_priority
 from hickorywing.policy.poolmodel import PoolJob
@@ -18,6 +20,21 @@
 from hickorywing.policy.poolroom import measure_room
 from hickorywing.policy.poolruns import JobState
 
+
+class KeptLines:
+    """An output of a decision log that keeps its lines."""
+
+    def __init__(self) -> None:
+        self.lines: list[dict] = []
+
+    def write(self, line: bytes) -> None:
+        self.lines.append(json.loads(line))
+
+    def find(self, event: str) -> dict:
+        """Return the first line of an event."""
+        return next(item for item in self.lines if item["event"] == event)
+
+
 CAPACITY = Resources(128_000, 262_144, 8)
 
 
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -5,10 +5,29 @@
 import signal
 
 from platformsystem import PlatformSystem
+from poolhelpers import gpu_step
+from poolhelpers import KeptLines
+from poolhelpers import make_job
+from test_runcontrol import Control
+from test_runcontrol import FakeLink
+from test_workerwatch import Agent
 
+from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
 from hickorywing.logevents import LogEvent
+from hickorywing.metrics import Metrics
+from hickorywing.orders import EndedRun
+from hickorywing.orders import RunningRun
+from hickorywing.orders import WorkerReport
+from hickorywing.policy.poolmodel import Step
+from hickorywing.policy.poolruns import Ending
+from hickorywing.policy.poolruns import JobState
 from hickorywing.rows import RowKey
+from hickorywing.standins.rowstore import MemoryRowStore
+from hickorywing.standins.rowstore import StoreFault
+from hickorywing.statuscache import StatusCache
 
+WORKER = "vm/i-1@1"
 JOB = "00000000000000b"
 ROOT = Path(__file__).parent.parent
 
@@ -135,8 +154,12 @@
             wanted = FACTS.get(line["event"], set())
             assert {"process", "role", "timestamp"} <= line.keys()
             assert wanted <= line.keys(), line
-        refused = [line for line in lines if line["event"] == "refused"]
-        assert {line["job"] for line in refused} == {JOB + "9"}
+        reasons = {
+            line["reason"]
+            for line in lines
+            if line.get("job") == JOB + "9" and line["event"] == "refused"
+        }
+        assert reasons == {"no such queue", "unknown key"}
 
     async def test_nothing_while_nothing_is_decided(self, tmp_path):
         async with PlatformSystem(tmp_path, workers=2) as system:
@@ -149,6 +172,143 @@
             assert len(system.log_lines()) == before
 
 
+class TestRareLines:
+    """What real processes seldom decide leaves its line as well."""
+
+    def place(self, control: Control, step: Step, running: bool = True):
+        """Return a job whose only unit runs on the test's worker."""
+        state = JobState(make_job("j1", (step,)), 1, 0.0)
+        unit = state.units[(0, 0, 0)]
+        unit.place([WORKER], now_s() - 60.0)
+        unit.committed = True
+        unit.members[0].seen = running
+        control.runs.jobs.add(state, restored=True)
+        return unit
+
+    def report(self, control: Control, **facts) -> FakeLink:
+        link = FakeLink(WORKER)
+        link.now_ms = 5000
+        report = WorkerReport(
+            worker=WORKER, clock_ms=5000, looked_ms=5000, **facts
+        )
+        control.runs.reports.take(link, report)
+        return link
+
+    async def test_run_that_stands_still(self):
+        kept = KeptLines()
+        async with Control(output=kept) as control:
+            unit = self.place(control, gpu_step(1, checkpoints=True))
+            unit.members[0].note_percent(10, now_s() - 55.0)
+            self.report(control, running=(RunningRun("j1.0.0.0", 1, "", 10),))
+        assert {"task", "worker", "percent", "since_s"} <= kept.find(
+            LogEvent.RUN_STALLED
+        ).keys()
+
+    async def test_run_on_a_leaving_worker(self):
+        kept = KeptLines()
+        async with Control(output=kept) as control:
+            self.place(control, gpu_step(1, checkpoints=True))
+            self.report(
+                control,
+                draining=True,
+                remaining_ms=2000,
+                running=(RunningRun("j1.0.0.0", 1, "", 10),),
+            )
+        assert kept.find(LogEvent.RUN_MOVED)["leaves_in_s"] <= 2.0
+
+    async def test_runs_and_ends_that_are_not_known(self):
+        kept = KeptLines()
+        async with Control(output=kept) as control:
+            link = self.report(
+                control,
+                running=(RunningRun("x.0.0.0", 1, "", 10),),
+                ended=(EndedRun(1, "y.0.0.0", 1, "done"),),
+            )
+            await control.wait(lambda: link.stops)
+            await asyncio.sleep(0)
+        assert kept.find(LogEvent.STRAY_RUN)["worker"] == WORKER
+        assert kept.find(LogEvent.STRAY_RUN_STOPPED)["outcome"] == "ok"
+        assert kept.find(LogEvent.END_OF_ANOTHER_RUN)["how"] == "done"
+
+    async def test_ending_that_is_not_known(self):
+        kept = KeptLines()
+        async with Control(output=kept) as control:
+            self.place(control, gpu_step(1))
+            self.report(control, ended=(EndedRun(1, "j1.0.0.0", 1, "odd"),))
+        assert kept.find(LogEvent.ENDING_NOT_KNOWN)["how"] == "odd"
+
+    async def test_worker_that_leaves(self):
+        kept = KeptLines()
+        async with Control(output=kept) as control:
+            link = self.report(control)
+            gone = WorkerReport(left=WORKER)
+            control.runs.reports.take(link, gone)
+        assert kept.find(LogEvent.WORKER_LEFT)["worker"] == WORKER
+
+    async def test_worker_that_fails_two_jobs(self):
+        kept = KeptLines()
+        async with Control(output=kept) as control:
+            for job_id in ("j1", "j2"):
+                state = JobState(make_job(job_id), 1, 0.0)
+                state.units[(0, 0, 0)].place([WORKER], now_s())
+                control.runs.jobs.add(state, restored=True)
+            for item in list(control.runs.jobs.open_members()):
+                control.runs.jobs.end_member(item, Ending.FAILED)
+        assert kept.find(LogEvent.WORKER_SET_ASIDE)["worker"] == WORKER
+
+    async def test_commit_without_an_answer(self):
+        kept = KeptLines()
+        async with Control(output=kept) as control:
+            control.store.plan_faults(StoreFault.LOST_AFTER)
+            control.accept("j1")
+            control.runs.jobs.cancel("j1")
+            await control.wait(
+                lambda: any(
+                    item["event"] == LogEvent.COMMIT_FAILED
+                    for item in kept.lines
+                )
+            )
+        assert kept.find(LogEvent.COMMIT_FAILED)["outcome"] == "unknown"
+
+    async def test_role_that_is_released(self):
+        kept = KeptLines()
+        async with Control(output=kept) as control:
+            control.lease.renewed_s = now_s()
+            await control.lease.release()
+        assert "outcome" in kept.find(LogEvent.ROLE_RELEASED)
+
+    async def test_order_to_a_silent_worker(self):
+        kept = KeptLines()
+        async with Agent(kept) as agent:
+            await agent.lose_worker()
+            await agent.start()
+            agent.worker.silent = False
+            while (await agent.ask()).silent:
+                pass
+            agent.watch.leave("i-1")
+        assert "reason" in kept.find(LogEvent.WORKER_SILENT)
+        assert kept.find(LogEvent.START_REFUSED)["run"] == 1
+        assert "worker" in kept.find(LogEvent.WORKER_ANSWERS)
+        assert "worker" in kept.find(LogEvent.WORKER_LEFT)
+
+    async def test_feed_that_lost_its_history(self):
+        kept = KeptLines()
+        store = MemoryRowStore()
+        log = DecisionLog("e0", "entry", Metrics("e0"), kept)
+        task = asyncio.ensure_future(StatusCache(store, log).run())
+        await asyncio.sleep(0.01)
+        # The first change lets the waiting feed find the store down.
+        store.put(RowKey("other", "", "row"), b"")
+        store.down = True
+        await asyncio.sleep(0.01)
+        store.put(RowKey("other", "", "row"), b"")
+        store.forget_history()
+        store.down = False
+        await asyncio.sleep(0.5)
+        task.cancel()
+        assert kept.find(LogEvent.FEED_LOST_ITS_HISTORY)["table"] == "progress"
+
+
 class TestCatalogue:
     """The catalogue, the programs and the documents agree."""
 
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -66,12 +66,12 @@
 class Control:
     """A controller's parts over a store in memory."""
 
-    def __init__(self, loses_answers: bool = False) -> None:
+    def __init__(self, loses_answers: bool = False, output=None) -> None:
         self.store = MemoryRowStore()
         way = CutStore(self.store)
         way.loses_answers = loses_answers
         metrics = Metrics("test")
-        log = DecisionLog("test", "entry", metrics, NoOutput())
+        log = DecisionLog("test", "entry", metrics, output or NoOutput())
         self.lease = PoolLease("p", "e0", way, log, metrics)
         self.lease.epoch = 1
         self.lease.epoch_version = self.store.put(epoch_key("p"), b"\x01")
--- a/tests/test_workerwatch.py
+++ b/tests/test_workerwatch.py
@@ -69,9 +69,12 @@
 class Agent:
     """A watch that runs over a fake worker."""
 
+    def __init__(self, output=None) -> None:
+        self.output = output or NoOutput()
+
     async def __aenter__(self) -> "Agent":
         self.worker = FakeWorker()
-        log = DecisionLog("a1", "agent", Metrics("a1"), NoOutput())
+        log = DecisionLog("a1", "agent", Metrics("a1"), self.output)
         self.watch = WorkerWatch("a1", self.worker, log)
         self.task = asyncio.ensure_future(self.watch.run())
         return self
