Count a late end if its run was done

Cause: a run that was given up because its worker could not be reached for a whole lease may have ended as done before its lease ran out. When the worker was back and listed the end, it was noted and dropped, and the task ran to its end once more. Ruled out: the lease (the run had ended by itself before it lapsed).

Change: the task is done, its job's status and next steps follow, and the run that took its place is stopped. Failures of runs that were given up still don't count as attempts.

The test of a late end failed first.

--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -172,13 +172,7 @@
 
         item = self._jobs.find(end.task, end.run, report.worker)
         if item is None:
-            self._log.write(
-                LogEvent.END_OF_ANOTHER_RUN,
-                task=end.task,
-                run=end.run,
-                how=end.how,
-            )
-            note()
+            self._take_other_end(end, note)
             return
         ending = self._read_ending(end)
         if item.step.lasting and ending is Ending.DONE:
@@ -186,6 +180,23 @@
         self._jobs.end_member(item, ending, end.saved)
         self._jobs.store(item.state, note)
 
+    def _take_other_end(self, end: EndedRun, note: Callable[[], None]) -> None:
+        """Take in the end of a run that is not the present one of its task."""
+        adopted = None
+        if end.how == Ending.DONE:
+            adopted = self._jobs.adopt_done(end.task, end.run)
+        self._log.write(
+            LogEvent.END_OF_ANOTHER_RUN,
+            task=end.task,
+            run=end.run,
+            how=end.how,
+            adopted=adopted is not None,
+        )
+        if adopted is None:
+            note()
+        else:
+            self._jobs.store(adopted, note)
+
     def _read_ending(self, end: EndedRun) -> Ending:
         """Return how a run ended; what isn't known counts as stopped."""
         try:
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -16,9 +16,11 @@
 from hickorywing.jobrows import progress_key
 from hickorywing.jobrows import restore_progress
 from hickorywing.metrics import Metrics
+from hickorywing.orders import EndedRun
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
 from hickorywing.orders import WorkerReport
+from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
@@ -209,6 +211,61 @@
             assert not unit.running
 
 
+class TestEarlierRun:
+    """An end that comes after its run was given up counts if it is done.
+
+    The load: agents are frozen or cut off for longer than a lease, while their
+    workers end what they run; it is placed elsewhere meanwhile.
+    """
+
+    def give_up(self, control: Control, step: Step) -> JobState:
+        """Return a job whose first run lapsed and whose second is at work."""
+        state = JobState(make_job("j1", (step,)), 1, 0.0)
+        unit = state.units[(0, 0, 0)]
+        unit.place(["vm/i-1@1"] * unit.count, 0.0)
+        for member in list(unit.members):
+            unit.end(member, Ending.LAPSED)
+        unit.place(["vm2/i-2@1"] * unit.count, now_s())
+        unit.committed = True
+        control.runs.jobs.add(state, restored=True)
+        return state
+
+    def list_end(self, control: Control, how: str) -> FakeLink:
+        link = FakeLink("vm/i-1@1")
+        control.runs.reports.take(
+            link,
+            WorkerReport(
+                worker=link.worker, ended=(EndedRun(1, "j1.0.0.0", 1, how),)
+            ),
+        )
+        return link
+
+    async def test_done(self):
+        async with Control() as control:
+            state = self.give_up(control, Step())
+            link = self.list_end(control, "done")
+            unit = state.units[(0, 0, 0)]
+            assert unit.done
+            assert unit.stopping
+            assert state.status is JobStatus.COMPLETED
+            await control.wait(lambda: link.noted == 1)
+            assert progress_key("p", "j1") in control.store.rows
+
+    async def test_failed(self):
+        async with Control() as control:
+            state = self.give_up(control, Step())
+            self.list_end(control, "failed")
+            unit = state.units[(0, 0, 0)]
+            assert not unit.done
+            assert unit.failures == 0
+
+    async def test_done_of_a_task_that_lasts(self):
+        async with Control() as control:
+            state = self.give_up(control, Step(lasting=True))
+            self.list_end(control, "done")
+            assert not state.units[(0, 0, 0)].done
+
+
 class TestProgress:
     """A successor finds in the row all that a start depends on."""
 
