Let callers of a starting entry wait for its first configuration

Cause: an entry's sockets are open before its libraries are loaded, so after a restart of all the first callers are answered a few milliseconds before the configuration is read, with a refusal that sends them away for a second. Ruled out: the role (taken at 36.15 s, not waited for), the workers (all back).

Change: while nothing was ever read, a request waits for up to 0.06 s, three times what the first read takes.

--- a/hickorywing/platform/callers.py
+++ b/hickorywing/platform/callers.py
@@ -36,6 +36,9 @@
 TIME_LIMIT_HEADER = b"x-deadline-ms"
 # What is left of the caller's time for the answer's way back.
 ANSWER_SLACK_S = 0.25
+# A process that has just started reads its configuration in some 20 ms. Longer
+# waits would hold a refusal back, so that callers try elsewhere too late.
+FIRST_READ_WAIT_S = 0.06
 QUEUE_SCOPE = "hickorywing.queue"
 CUSTOMER_SCOPE = "hickorywing.customer"
 STATUSES = {
@@ -127,6 +130,8 @@
 
     async def handle(self, request: Request, proceed: Proceed) -> Response:
         """Let the request proceed while the configuration is known."""
+        if self._view.proved_s is None:
+            await self._view.wait_first(FIRST_READ_WAIT_S)
         age_s = self._view.age_s(now_s())
         if self._view.configuration is None or (
             age_s > self._terms.key_age_limit_s
--- a/hickorywing/poolconfig.py
+++ b/hickorywing/poolconfig.py
@@ -7,7 +7,9 @@
 
 from abc import ABC
 from abc import abstractmethod
+import asyncio
 from collections.abc import Iterable
+import contextlib
 from dataclasses import dataclass
 
 from hickorywing.policy.poolmodel import Customer
@@ -62,6 +64,7 @@
         self.configuration: Configuration | None = None
         self.zones_out: frozenset[str] = frozenset()
         self.proved_s: float | None = None
+        self._proved = asyncio.Event()
         self._by_host: dict[str, list[Queue]] = {}
         self._by_key: dict[str, Customer] = {}
         self._guarantees: dict[str, int] = {}
@@ -104,6 +107,12 @@
         """Note that the state was the newest one at a moment."""
         if self.proved_s is None or moment_s > self.proved_s:
             self.proved_s = moment_s
+            self._proved.set()
+
+    async def wait_first(self, timeout_s: float) -> None:
+        """Return once the state was read for the first time, or in time."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._proved.wait(), timeout_s)
 
     def age_s(self, now_s: float) -> float:
         """Return for how long the state may have been out of date."""
