Note a gang's ends only once the gang's is stored

Cause: the first end of a gang closes its run; the ends of the others were then of "another run" and noted at once, while the gang's own end waited for the store. After a loss of all VMs the successor found the gang running, and its workers had forgotten the rest: it ran again. The store was busy from 31.0 to 36.4 s, the gang ended at 33.9 s, all VMs lost power at 36.5 s.

Change: the end of a run that isn't the present one is noted once its job's row is written. An entry that starts looks for pools as soon as it has read them.

The test with a silent store failed first.

--- a/hickorywing/livejobs.py
+++ b/hickorywing/livejobs.py
@@ -195,24 +195,29 @@
             unit.waiting_since_s = now_s()
         self._settle(state)
 
-    def adopt_done(self, name: str, run: int) -> JobState | None:
+    def find_job(self, name: str) -> JobState | None:
+        """Return the job that a task's name belongs to."""
+        task = parse_task(name)
+        return None if task is None else self.accepted.get(task.job_id)
+
+    def adopt_done(self, name: str, run: int) -> bool:
         """Take a task as done by a run that had been given up.
 
-        Returns the job, or ``None`` if the end changes nothing. The run that
-        took its place, if any, is stopped.
+        Tells whether that changes anything. The run that took its place, if
+        any, is stopped.
         """
         task = parse_task(name)
         state = None if task is None else self.live.get(task.job_id)
         unit = None if state is None else state.find_unit(task)
         if unit is None or unit.done or state.final or run > unit.run:
-            return None
+            return False
         if state.job.steps[unit.step].lasting:
-            return None
+            return False
         unit.done = True
         if unit.running:
             unit.stopping = unit.stopping or f"run {run} is done"
         self._settle(state)
-        return state
+        return True
 
     def _note_health(
         self, state: JobState, member: Member, ending: Ending
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -191,7 +191,10 @@
                 controller = PoolController(pool, parts)
                 task = guard_task(controller.run(), self._report)
                 self._controllers[pool] = (controller, task)
-            await asyncio.sleep(POOLS_EVERY_S)
+            if self._view.proved_s is None:
+                await self._view.wait_first(POOLS_EVERY_S)
+            else:
+                await asyncio.sleep(POOLS_EVERY_S)
 
 
 def run_entry(settings: Path) -> None:
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -181,21 +181,26 @@
         self._jobs.store(item.state, note)
 
     def _take_other_end(self, end: EndedRun, note: Callable[[], None]) -> None:
-        """Take in the end of a run that is not the present one of its task."""
-        adopted = None
-        if end.how == Ending.DONE:
-            adopted = self._jobs.adopt_done(end.task, end.run)
+        """Take in the end of a run that is not the present one of its task.
+
+        Its worker forgets it only once the job is stored: the end may be that
+        of a gang whose other members have ended its run a moment before.
+        """
+        adopted = end.how == Ending.DONE and self._jobs.adopt_done(
+            end.task, end.run
+        )
         self._log.write(
             LogEvent.END_OF_ANOTHER_RUN,
             task=end.task,
             run=end.run,
             how=end.how,
-            adopted=adopted is not None,
+            adopted=adopted,
         )
-        if adopted is None:
+        state = self._jobs.find_job(end.task)
+        if state is None:
             note()
         else:
-            self._jobs.store(adopted, note)
+            self._jobs.store(state, note)
 
     def _read_ending(self, end: EndedRun) -> Ending:
         """Return how a run ended; what isn't known counts as stopped."""
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -266,6 +266,36 @@
             assert not state.units[(0, 0, 0)].done
 
 
+class TestGangEnds:
+    """No end of a gang is noted before the gang's is stored.
+
+    The load: the store is silent while gangs end, and all VMs lose power just
+    as it is back.
+    """
+
+    async def test_store_is_silent(self):
+        async with Control() as control:
+            control.store.down = True
+            step = Step(count=2, gang=True)
+            state = JobState(make_job("j1", (step,)), 1, 0.0)
+            workers = ["vm0/i-0@1", "vm1/i-1@1"]
+            state.units[(0, 0, 0)].place(workers, now_s())
+            control.runs.jobs.add(state, restored=True)
+            links = [FakeLink(worker) for worker in workers]
+            for index, link in enumerate(links):
+                end = EndedRun(1, f"j1.0.0.{index}", 1, "done")
+                control.runs.reports.take(
+                    link, WorkerReport(worker=link.worker, ended=(end,))
+                )
+            await asyncio.sleep(0.2)
+            assert state.status is JobStatus.COMPLETED
+            assert [link.noted for link in links] == [0, 0]
+            control.store.down = False
+            await control.wait(
+                lambda: [link.noted for link in links] == [1, 1]
+            )
+
+
 class TestProgress:
     """A successor finds in the row all that a start depends on."""
 
