Count leases from the first offer of the role

Cause, found by reading: an entry takes an offered role at once, and if its answer is lost the holder went on counting leases from a whole lease time after its last renewal. The successor's term may have begun up to 0.6 s earlier, and its wait has only 0.3 s to spare.

Change: from the first offer since the last renewal on, leases count from that offer, unless all entries say since that they can't have taken the role. The bound in the test of a holder that reaches nobody is an upper one now, as it always offers first; it was exact before.

The test of an acceptance that is lost failed first.

--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -81,6 +81,7 @@
         self.epoch = 0
         self.epoch_version = 0
         self.renewed_s: float | None = None
+        self._offered_s = float("inf")
         self._vouched_s = 0.0
         self._store = store
         self._log = log
@@ -111,12 +112,14 @@
     def alone_until_s(self) -> float:
         """Return a moment before which no successor's term has begun.
 
-        A candidate watches the row for a whole lease, or says that it can't
-        read it. What is granted from this moment on may meet a successor.
+        A candidate watches the row for a whole lease, unless the role was
+        offered to it, or says that it can't read it. What is granted from this
+        moment on may meet a successor.
         """
         if self.renewed_s is None:
             return float("-inf")
-        return max(self.renewed_s + LEASE_S, self._vouched_s)
+        watched_s = self.renewed_s + LEASE_S
+        return max(min(watched_s, self._offered_s), self._vouched_s)
 
     def expectation(self) -> RowExpectation:
         """Return what fails once another holder has taken over."""
@@ -268,6 +271,7 @@
         self._renewal = 0
         self.renewed_s = sent_s
         self._tried_since_s = None
+        self._offered_s = float("inf")
         self._vouched_s = 0.0
         self._log.write(
             LogEvent.ROLE_TAKEN,
@@ -318,6 +322,8 @@
         if self._offer is None or self._lost.is_set():
             return
         asked_s = now_s()
+        # An entry may accept and its answer be lost.
+        self._offered_s = min(self._offered_s, asked_s)
         outcome = await self._offer(self.epoch)
         if outcome.successor:
             self.surrender(f"handed to {outcome.successor}")
@@ -341,6 +347,7 @@
         self._renewal = lease.renewal
         self.renewed_s = self._tried_since_s
         self._tried_since_s = None
+        self._offered_s = float("inf")
 
     def adopt_epoch_version(self, version: int) -> None:
         """Correct the version of the epoch row, as read from the store."""
