--- a/hickorywing/explain.py
+++ b/hickorywing/explain.py
@@ -10,15 +10,13 @@
 
 from hickorywing.logclocks import correct_clocks
 from hickorywing.logevents import LogEvent
+from hickorywing.loglines import format_line
 from hickorywing.loglines import LogLine
 from hickorywing.loglines import read_line
 from hickorywing.policy.poolmodel import vm_of
 
 __all__ = ["Account", "explain_job", "format_account"]
 
-# Facts that every line has; the account prints them in columns.
-COMMON_FACTS = frozenset({"event", "process", "role", "timestamp", "job"})
-
 
 @dataclass(slots=True)
 class Account:
@@ -158,14 +156,9 @@
 def format_account(account: Account) -> list[str]:
     """Return the account as lines of text."""
     lines = [f"job {account.job_id}"]
-    for line in account.lines:
-        facts = " ".join(
-            f"{name}={value}"
-            for name, value in line.facts.items()
-            if name not in COMMON_FACTS and value != ""
-        )
-        clock = line.at.strftime("%H:%M:%S.%f")[:-3]
-        lines.append(f"{clock}  {line.process:<14} {line.event:<20} {facts}")
+    lines.extend(
+        format_line(line, frozenset({"job"})) for line in account.lines
+    )
     lines.extend(
         f"clock of {process} corrected by {shift_s:+g} s"
         for process, shift_s in sorted(account.clocks.items())
--- a/hickorywing/loglines.py
+++ b/hickorywing/loglines.py
@@ -10,7 +10,10 @@
 
 import msgspec
 
-__all__ = ["LogLine", "read_line"]
+__all__ = ["LogLine", "format_line", "read_line"]
+
+# Facts that every line has; the text shows them in columns.
+COMMON_FACTS = frozenset({"event", "process", "role", "timestamp"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,3 +37,14 @@
         return LogLine(at, facts["process"], facts["event"], facts)
     except (msgspec.DecodeError, KeyError, TypeError, ValueError):
         return None
+
+
+def format_line(line: LogLine, hidden: frozenset[str] = frozenset()) -> str:
+    """Return an event as a line of text, without the facts that are hidden."""
+    facts = " ".join(
+        f"{name}={value}"
+        for name, value in line.facts.items()
+        if name not in COMMON_FACTS | hidden and value != ""
+    )
+    clock = line.at.strftime("%H:%M:%S.%f")[:-3]
+    return f"{clock}  {line.process:<14} {line.event:<20} {facts}".rstrip()
--- a/hickorywing/logtimeline.py
+++ b/hickorywing/logtimeline.py
@@ -15,7 +15,6 @@
     "Span",
     "draw_timeline",
     "find_spans",
-    "format_line",
     "read_timeline",
 ]
 
@@ -67,18 +66,6 @@
     return sorted(wanted, key=lambda line: (line.at, line.process))
 
 
-def format_line(line: LogLine) -> str:
-    """Return an event as a line of text."""
-    hidden = ("event", "process", "role", "timestamp")
-    facts = " ".join(
-        f"{name}={value}"
-        for name, value in line.facts.items()
-        if name not in hidden and value != ""
-    )
-    clock = line.at.strftime("%H:%M:%S.%f")[:-3]
-    return f"{clock}  {line.process:<14} {line.event:<20} {facts}".rstrip()
-
-
 def find_spans(lines: Iterable[LogLine]) -> list[Span]:
     """Return what lasted, from events in order of time.
 
--- a/hickorywing/uilogs.py
+++ b/hickorywing/uilogs.py
@@ -7,8 +7,8 @@
 
 from hickorywing.explain import explain_job
 from hickorywing.explain import format_account
+from hickorywing.loglines import format_line
 from hickorywing.logtimeline import draw_timeline
-from hickorywing.logtimeline import format_line
 from hickorywing.logtimeline import read_timeline
 
 __all__ = ["explain_logs", "show_log_timeline"]
--- a/tests/test_logtimeline.py
+++ b/tests/test_logtimeline.py
@@ -6,9 +6,9 @@
 
 from hickorywing.errors import UserError
 from hickorywing.logevents import LogEvent
+from hickorywing.loglines import format_line
 from hickorywing.logtimeline import draw_timeline
 from hickorywing.logtimeline import find_spans
-from hickorywing.logtimeline import format_line
 from hickorywing.logtimeline import read_timeline
 from hickorywing.uilogs import show_log_timeline
 
