Say in the line of an ended run how long it took, and should have

The line now has the time since the placement, the declared time and the last share of work. No decision reads them.

--- a/hickorywing/livejobs.py
+++ b/hickorywing/livejobs.py
@@ -185,6 +185,9 @@
             worker=member.worker,
             how=ending,
             stopping=unit.stopping,
+            took_s=round(now_s() - unit.placed_at_s, 2),
+            estimate_s=item.step.estimate_s,
+            percent=member.percent,
         )
         self._metrics.count("runs_ended", how=ending)
         if not unit.running and unit.displaced_at_s is not None:
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -69,7 +69,16 @@
     LogEvent.START_ANSWERED: {"task", "run", "worker", "epoch", "outcome"},
     LogEvent.STOP_ANSWERED: {"task", "run", "worker", "outcome", "stopping"},
     LogEvent.RUN_PREEMPTED: {"job", "run", "gives_way_to"},
-    LogEvent.RUN_ENDED: {"task", "run", "worker", "how", "stopping"},
+    LogEvent.RUN_ENDED: {
+        "task",
+        "run",
+        "worker",
+        "how",
+        "stopping",
+        "took_s",
+        "estimate_s",
+        "percent",
+    },
 }
 
 
