Let a stop end the mailbox while a message arrives

Ruled out: requests in progress (none), the agent (it had left in 1.3 s), the clients' calls (bounded to 60 s).

Change: a task that was cancelled ends after the operation, for receiving and for sending.

Pools don't use pynng.

--- a/hickorywing/mailbox.py
+++ b/hickorywing/mailbox.py
@@ -104,6 +104,7 @@
         """Receive until cancelled; malformed frames are counted, dropped."""
         while True:
             frame = await self._inbox.arecv()
+            raise_if_cancelled()
             self.metrics.count("messages_received")
             self.metrics.add("message_bytes_received", len(frame))
             decoded = decode_message(frame)
@@ -120,6 +121,16 @@
         self._links.clear()
 
 
+def raise_if_cancelled() -> None:
+    """Raise ``CancelledError`` if the present task was cancelled.
+
+    pynng ends an operation that completes while it is cancelled as if it had
+    not been, so the task would go on and a stop would wait for it for ever.
+    """
+    if asyncio.current_task().cancelling():
+        raise asyncio.CancelledError
+
+
 class Link:
     """The sending side towards one peer."""
 
@@ -155,6 +166,7 @@
             except pynng.exceptions.NNGException:
                 self._metrics.count("messages_dropped")
                 await asyncio.sleep(RECONNECT_MIN_MS / 1000)
+            raise_if_cancelled()
 
     def close(self) -> None:
         """Close the link; what it has queued is lost."""
