Use one output that keeps lines in all tests

Six test files had their own outputs for a decision log, four that drop lines and two that keep them; KeptLines serves all.

--- a/tests/test_agentlink.py
+++ b/tests/test_agentlink.py
@@ -1,6 +1,7 @@
 """Leases that a controller grants through an agent."""
 
 import msgspec
+from poolhelpers import KeptLines
 import pytest
 
 from hickorywing.agentlink import AgentLink
@@ -18,14 +19,9 @@
 CLOCK_MS = 500_000
 
 
-class NoOutput:
-    def write(self, line: bytes) -> None:
-        pass
-
-
 def make_link(alone_for_s: float) -> AgentLink:
     """Return a link of a controller that may have met a successor."""
-    log = DecisionLog("e0", "entry", Metrics("e0"), NoOutput())
+    log = DecisionLog("e0", "entry", Metrics("e0"), KeptLines())
     until_s = now_s() + alone_for_s
     terms = LinkTerms("p", 1, LEASE_LIMIT_S, lambda: until_s, log)
     link = AgentLink("nowhere", terms, HttpClient(), lambda *_: None)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,9 +1,10 @@
 """Lines about decisions are bounded, and writing them never waits."""
 
-import json
 import os
 import time
 
+from poolhelpers import KeptLines
+
 from hickorywing.decisions import BoundedOutput
 from hickorywing.decisions import BUFFERED_LINES
 from hickorywing.decisions import BURST_LINES
@@ -13,16 +14,6 @@
 LONG_FACT = "x" * 2000
 
 
-class Lines:
-    """An output that keeps its lines."""
-
-    def __init__(self) -> None:
-        self.lines: list[dict] = []
-
-    def write(self, line: bytes) -> None:
-        self.lines.append(json.loads(line))
-
-
 def make_log(output) -> DecisionLog:
     return DecisionLog("e1", "entry", Metrics("e1"), output)
 
@@ -31,7 +22,7 @@
     """A line names its process, event and time, and has its facts."""
 
     def test_facts(self):
-        output = Lines()
+        output = KeptLines()
         make_log(output).write("run placed", job="j1", workers=("w1",))
         (line,) = output.lines
         assert line["event"] == "run placed"
@@ -40,7 +31,7 @@
         assert "timestamp" in line
 
     def test_rate_of_one_kind_is_bounded(self):
-        output = Lines()
+        output = KeptLines()
         log = make_log(output)
         for _ in range(BURST_LINES * 3):
             log.write("refused", reason="unknown key")
@@ -50,7 +41,7 @@
         assert kinds.count("role taken") == 1
 
     def test_next_line_counts_what_was_dropped(self):
-        output = Lines()
+        output = KeptLines()
         log = make_log(output)
         for _ in range(BURST_LINES + 40):
             log.write("refused")
--- a/tests/test_jobdesk.py
+++ b/tests/test_jobdesk.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cutstore import CutStore
+from poolhelpers import KeptLines
 from poolhelpers import make_job
 
 from hickorywing.clock import now_s
@@ -20,19 +21,9 @@
 from hickorywing.statuscache import StatusCache
 
 
-class Quiet:
-    """An output that keeps its lines."""
-
-    def __init__(self) -> None:
-        self.lines: list[bytes] = []
-
-    def write(self, line: bytes) -> None:
-        self.lines.append(line)
-
-
 def make_desk(store: MemoryRowStore) -> JobDesk:
     metrics = Metrics("test")
-    log = DecisionLog("test", "entry", metrics, Quiet())
+    log = DecisionLog("test", "entry", metrics, KeptLines())
     return JobDesk(store, StatusCache(store, log), log, metrics)
 
 
@@ -119,7 +110,7 @@
 
     async def follow(self, store: MemoryRowStore) -> tuple:
         """Return a desk and its cache, which has begun to follow."""
-        log = DecisionLog("test", "entry", Metrics("test"), Quiet())
+        log = DecisionLog("test", "entry", Metrics("test"), KeptLines())
         cache = StatusCache(store, log)
         task = asyncio.ensure_future(cache.run())
         await asyncio.sleep(0.01)
--- a/tests/test_poollease.py
+++ b/tests/test_poollease.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cutstore import CutStore
+from poolhelpers import KeptLines
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
@@ -17,11 +18,6 @@
 from hickorywing.standins.rowstore import StoreFault
 
 
-class NoOutput:
-    def write(self, line: bytes) -> None:
-        pass
-
-
 class Candidates:
     """Two candidates over one store; ``serving`` lists who serves."""
 
@@ -46,7 +42,7 @@
 
     async def begin(self, name: str) -> None:
         metrics = Metrics(name)
-        log = DecisionLog(name, "entry", metrics, NoOutput())
+        log = DecisionLog(name, "entry", metrics, KeptLines())
         lease = PoolLease("p", name, self.ways[name], log, metrics, self.offer)
         self.leases[name] = lease
 
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cutstore import CutStore
+from poolhelpers import KeptLines
 from poolhelpers import make_job
 
 from hickorywing.clock import now_s
@@ -32,11 +33,6 @@
 from hickorywing.standins.rowstore import StoreFault
 
 
-class NoOutput:
-    def write(self, line: bytes) -> None:
-        pass
-
-
 class FakeLink:
     """A controller's link whose agent answers every stop."""
 
@@ -73,7 +69,7 @@
         way = CutStore(self.store)
         way.loses_answers = loses_answers
         metrics = Metrics("test")
-        log = DecisionLog("test", "entry", metrics, output or NoOutput())
+        log = DecisionLog("test", "entry", metrics, output or KeptLines())
         self.lease = PoolLease("p", "e0", way, log, metrics)
         self.lease.epoch = 1
         self.lease.epoch_version = self.store.put(epoch_key("p"), b"\x01")
--- a/tests/test_workerwatch.py
+++ b/tests/test_workerwatch.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from poolhelpers import KeptLines
+
 from hickorywing.decisions import DecisionLog
 from hickorywing.metrics import Metrics
 from hickorywing.orders import OrderAnswer
@@ -45,11 +47,6 @@
         return Look(1000, self.born_ms, (), ())
 
 
-class NoOutput:
-    def write(self, line: bytes) -> None:
-        pass
-
-
 def announce(born_ms=100, sequence=1, draining=False) -> Announcement:
     return Announcement(
         worker=f"i-1@{born_ms}",
@@ -70,7 +67,7 @@
     """A watch that runs over a fake worker."""
 
     def __init__(self, output=None) -> None:
-        self.output = output or NoOutput()
+        self.output = output or KeptLines()
 
     async def __aenter__(self) -> "Agent":
         self.worker = FakeWorker()
