Keep addresses out of callers' answers, and close clients at a stop

Found by reading the change as a newcomer: since the router uses the pools' HTTP client, the reason of an unknown outcome held the agent's address and the library's error, which callers saw; now they read what was lost and the log line has the error.

--- a/hickorywing/agent.py
+++ b/hickorywing/agent.py
@@ -81,6 +81,7 @@
         self.timeline = Timeline(settings.name)
         self.register = ConfigurationRegister()
         self.table = table
+        self.worker = worker
         self.mailbox = mailbox
         self.leaving = False
         self.service = ""
@@ -328,6 +329,8 @@
         await web.stop()
         self.mailbox.close()
         await self.dispatches.close()
+        if self.worker is not None:
+            await self.worker.close()
         await self.table.close()
 
     async def _run_controller(self) -> None:
--- a/hickorywing/routing.py
+++ b/hickorywing/routing.py
@@ -249,7 +249,12 @@
             )
         except CallError as error:
             self.metrics.count("dispatch_answers_lost")
-            return await self._find_out(info, dispatch_id, str(error))
+            get_logger().warning(
+                "dispatch unanswered", dispatch=dispatch_id, error=str(error)
+            )
+            return await self._find_out(
+                info, dispatch_id, "answer of backend server's agent lost"
+            )
         return self._read_answer(answer)
 
     def _dispatch_headers(
--- a/hickorywing/standins/backends.py
+++ b/hickorywing/standins/backends.py
@@ -88,15 +88,18 @@
             settings.connections,
         )
     )
-    while True:
-        try:
-            await http.call(
-                "POST",
-                f"{settings.agent}/announce",
-                ANNOUNCE_TIMEOUT_S,
-                body,
-            )
-        except CallError as error:
-            # The agent may not run yet; the next announcement tells it.
-            get_logger().info("announcement unanswered", error=str(error))
-        await asyncio.sleep(ANNOUNCE_EVERY_S)
+    try:
+        while True:
+            try:
+                await http.call(
+                    "POST",
+                    f"{settings.agent}/announce",
+                    ANNOUNCE_TIMEOUT_S,
+                    body,
+                )
+            except CallError as error:
+                # The agent may not run yet; the next announcement tells it.
+                get_logger().info("announcement unanswered", error=str(error))
+            await asyncio.sleep(ANNOUNCE_EVERY_S)
+    finally:
+        await http.close()
--- a/hickorywing/workers.py
+++ b/hickorywing/workers.py
@@ -84,6 +84,9 @@
     async def forget(self, names: TaskNames) -> None:
         """Drop ended tasks."""
 
+    async def close(self) -> None:  # noqa: B027
+        """Release what the client holds; nothing by default."""
+
 
 class HttpWorker(Worker):
     """A worker over HTTP."""
@@ -120,3 +123,7 @@
     async def forget(self, names: TaskNames) -> None:
         """Drop ended tasks."""
         await self._post("/tasks/forget", names)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
