Find open members by worker, and plan only when something changed

Cause: each report of a worker walked all members at work in the pool three times and then made a plan, so a controller's work grew with workers times tasks. Ruled out: decoding and the HTTP client, which cost the same for each report. Change: members are indexed by worker and by task; a report wakes the planner only if it brought an end, a new worker or a run that has to leave.

--- a/hickorywing/livejobs.py
+++ b/hickorywing/livejobs.py
@@ -1,8 +1,7 @@
 """Keep a pool's jobs, and store what becomes of them."""
 
 from collections.abc import Callable
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Iterable
 
 from hickorywing.clock import now_s
 from hickorywing.committer import Committer
@@ -13,45 +12,27 @@
 from hickorywing.jobrows import progress_key
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
+from hickorywing.openmembers import OpenMember
+from hickorywing.openmembers import OpenMembers
 from hickorywing.policy.poolhealth import WorkerHealth
-from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolruns import Ending
-from hickorywing.policy.poolruns import format_task
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import Member
 from hickorywing.policy.poolruns import parse_task
 from hickorywing.policy.poolruns import Unit
 
-__all__ = ["LiveJobs", "OpenMember"]
+__all__ = ["LiveJobs"]
 
 # Bounds the size of one transaction; 15 a sweep are 130,000 jobs a day.
 FORGET_AT_ONCE = 15
 
 
-@dataclass(frozen=True, slots=True)
-class OpenMember:
-    """A member that may be at work, with what it belongs to."""
-
-    state: JobState
-    unit: Unit
-    member: Member
-
-    @property
-    def step(self) -> Step:
-        """Return the step that the task is of."""
-        return self.state.job.steps[self.unit.step]
-
-    @property
-    def task(self) -> str:
-        """Return the task's name as text."""
-        return format_task(self.unit.task(self.member))
-
-
 class LiveJobs:
     """The jobs of one pool during one term of its controller.
 
     ``accepted`` holds all that were, ``live`` those that still may have
-    something at work or waiting. ``wake`` is called after each change.
+    something at work or waiting, ``members`` what may be at work. ``wake`` is
+    called after each change.
     """
 
     def __init__(
@@ -66,6 +47,7 @@
     ) -> None:
         self.accepted: dict[str, JobState] = {}
         self.live: dict[str, JobState] = {}
+        self.members = OpenMembers()
         self._pool = pool
         self._keep_ended_s = keep_ended_s
         self._committer = committer
@@ -84,6 +66,8 @@
         if state.final and not any(state.running_units()):
             return
         self.live[job.job_id] = state
+        for unit in state.running_units():
+            self.members.add(state, unit)
         if job.job_id in self._cancels:
             self._cancel(state)
         if not restored:
@@ -149,27 +133,12 @@
         if ended:
             self._log.write(LogEvent.JOBS_FORGOTTEN, jobs=len(ended))
 
-    def open_members(self) -> Iterator[OpenMember]:
-        """Return what may be at work; it may change meanwhile."""
-        for state in list(self.live.values()):
-            for unit in list(state.running_units()):
-                for member in list(unit.open_members()):
-                    yield OpenMember(state, unit, member)
-
-    def find(self, name: str, run: int, worker: str) -> OpenMember | None:
-        """Return the open member that a worker's list names."""
-        task = parse_task(name)
-        state = None if task is None else self.live.get(task.job_id)
-        unit = None if state is None else state.find_unit(task)
-        member = None if unit is None else unit.find(task.index)
-        if (
-            member is None
-            or unit.run != run
-            or member.worker != worker
-            or member.ending is not None
-        ):
-            return None
-        return OpenMember(state, unit, member)
+    def place(self, unit: Unit, workers: Iterable[str]) -> JobState:
+        """Begin a new run of a unit; return the state of its job."""
+        state = self.live[unit.job_id]
+        unit.place(list(workers), now_s())
+        self.members.add(state, unit)
+        return state
 
     def end_member(
         self, item: OpenMember, ending: Ending, saved: str = ""
@@ -177,6 +146,7 @@
         """Note that a member has ended, and store it."""
         state, unit, member = item.state, item.unit, item.member
         unit.end(member, ending, saved)
+        self.members.drop_ended(unit)
         self._note_health(state, member, ending)
         self._log.write(
             LogEvent.RUN_ENDED,
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -73,7 +73,7 @@
         self._earlier_leases_end_s = (
             now_s() + terms.lease_limit_s + LEASE_SLACK_S
         )
-        self._acting = False
+        self.acting = False
         self._saves_stored_s = 0.0
         self._workers: dict[str, AgentLink] = {}
         health = WorkerHealth()
@@ -115,8 +115,8 @@
 
     def wake(self) -> None:
         """Plan and give orders soon, once for all that happens at a time."""
-        if not self._acting:
-            self._acting = True
+        if not self.acting:
+            self.acting = True
             asyncio.get_running_loop().call_soon(self._act)
 
     def tick(self, unix_s: float) -> None:
@@ -132,14 +132,14 @@
         self._act()
 
     def _act(self) -> None:
-        self._acting = False
+        self.acting = False
         if self._may_place():
             self._plan()
-        self._orders.give(self.jobs.open_members())
+        self._orders.give(self.jobs.members)
 
     def _end_lapsed(self, now: float) -> None:
         """End what ran on workers whose every lease has run out."""
-        for item in list(self.jobs.open_members()):
+        for item in self.jobs.members:
             link = self._workers.get(item.member.worker)
             end_s = self._earlier_leases_end_s
             if link is not None:
@@ -158,7 +158,7 @@
     def _plan(self) -> None:
         """Place waiting units and stop what has to give way."""
         plan = self._planning.make_plan(
-            self.jobs.live.values(), self.jobs.open_members()
+            self.jobs.live.values(), self.jobs.members
         )
         for assignment in plan.starts:
             self._place(assignment)
@@ -167,8 +167,7 @@
 
     def _place(self, assignment: Assignment) -> None:
         unit = assignment.unit
-        unit.place(list(assignment.workers), now_s())
-        state = self.jobs.live[unit.job_id]
+        state = self.jobs.place(unit, assignment.workers)
         self._log.write(
             LogEvent.RUN_PLACED,
             job=unit.job_id,
--- a/hickorywing/runorders.py
+++ b/hickorywing/runorders.py
@@ -13,9 +13,9 @@
 from hickorywing.agentlink import AgentLink
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
-from hickorywing.livejobs import OpenMember
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
+from hickorywing.openmembers import OpenMember
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
 from hickorywing.orders import RunningRun
@@ -144,7 +144,8 @@
             return
         if answer.outcome is OrderOutcome.OK:
             member.seen = True
-        elif answer.outcome is OrderOutcome.OLD_EPOCH:
+            return
+        if answer.outcome is OrderOutcome.OLD_EPOCH:
             self._lease.surrender("a worker has seen a newer epoch")
         elif answer.outcome is OrderOutcome.UNKNOWN:
             if now_s() - unit.placed_at_s > START_PATIENCE_S:
--- a/hickorywing/runplanning.py
+++ b/hickorywing/runplanning.py
@@ -8,7 +8,7 @@
 
 from hickorywing.agentlink import AgentLink
 from hickorywing.clock import now_s
-from hickorywing.livejobs import OpenMember
+from hickorywing.openmembers import OpenMember
 from hickorywing.policy.poolguarantees import find_covered
 from hickorywing.policy.poolguarantees import rank_priority
 from hickorywing.policy.poolhealth import WorkerHealth
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -7,9 +7,9 @@
 from hickorywing.decisions import DecisionLog
 from hickorywing.knownworker import KnownWorker
 from hickorywing.livejobs import LiveJobs
-from hickorywing.livejobs import OpenMember
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
+from hickorywing.openmembers import OpenMember
 from hickorywing.orders import EndedRun
 from hickorywing.orders import RunningRun
 from hickorywing.orders import WorkerReport
@@ -75,15 +75,14 @@
         if report.draining:
             self._move_runs(report)
         link.set_busy(self._is_busy(link))
-        self._wake()
 
     def _move_runs(self, report: WorkerReport) -> None:
         """Stop the runs that can't end before their worker may leave."""
         now = now_s()
         leaves_s = self._known[report.worker].find_leaving_s(report, now)
-        for item in self._jobs.open_members():
+        for item in self._jobs.members.on_worker(report.worker):
             unit = item.unit
-            if item.member.worker != report.worker or unit.stopping:
+            if unit.stopping:
                 continue
             if should_move(unit, item.step, now, leaves_s):
                 unit.stopping = "its worker leaves"
@@ -96,24 +95,21 @@
                     leaves_in_s=round(leaves_s - now, 2),
                 )
                 self._metrics.count("runs_moved")
+                self._wake()
 
     def _is_busy(self, link: AgentLink) -> bool:
         """Tell whether the worker has to be looked at."""
         known = self._known.get(link.worker)
         if known is not None and known.ends:
             return True
-        return any(
-            item.member.worker == link.worker
-            for item in self._jobs.open_members()
-        )
+        return bool(self._jobs.members.on_worker(link.worker))
 
     def _forget_worker(self, worker: str) -> None:
         """Take in that a worker has left; what ran on it is lost."""
         self._log.write(LogEvent.WORKER_LEFT, worker=worker)
         self._drop(worker)
-        for item in list(self._jobs.open_members()):
-            if item.member.worker == worker:
-                self._jobs.end_member(item, Ending.LOST)
+        for item in self._jobs.members.on_worker(worker):
+            self._jobs.end_member(item, Ending.LOST)
 
     def _drop(self, worker: str) -> None:
         """Forget all that is known of an incarnation that is over."""
@@ -137,10 +133,11 @@
             accelerators=report.capacity.accelerators,
             epoch=self._lease.epoch,
         )
-        for item in list(self._jobs.open_members()):
-            worker = item.member.worker
+        self._wake()
+        for worker in self._jobs.members.list_workers():
             if vm_of(worker) == vm and worker != report.worker:
-                self._lose_member(item, report.worker)
+                for item in self._jobs.members.on_worker(worker):
+                    self._lose_member(item, report.worker)
 
     def _lose_member(self, item: OpenMember, successor: str) -> None:
         """End a member whose worker has a new incarnation.
@@ -151,7 +148,7 @@
         """
         unit, member = item.unit, item.member
         if name_of(member.worker) == name_of(successor):
-            member.worker = successor
+            self._jobs.members.move(item, successor)
             # A stop was confirmed by the clock of the last incarnation.
             member.stopped_ms = None
             unit.stopping = unit.stopping or "the worker has restarted"
@@ -170,7 +167,7 @@
             self._metrics.observe("end_to_noted_seconds", now_s() - listed_s)
             self._note_end(link, report.worker, end.number)
 
-        item = self._jobs.find(end.task, end.run, report.worker)
+        item = self._jobs.members.find(end.task, end.run, report.worker)
         if item is None:
             self._take_other_end(end, note)
             return
@@ -222,14 +219,12 @@
         """Compare the runs that a worker lists with what should be there."""
         listed = {(item.task, item.run) for item in report.running}
         for run in report.running:
-            item = self._jobs.find(run.task, run.run, report.worker)
+            item = self._jobs.members.find(run.task, run.run, report.worker)
             if item is None:
                 self._orders.stop_stray(link, report.worker, run)
             else:
                 self._take_listed(item, run, report)
-        for item in list(self._jobs.open_members()):
-            if item.member.worker != report.worker:
-                continue
+        for item in self._jobs.members.on_worker(report.worker):
             if (item.task, item.unit.run) not in listed:
                 self._take_absent(item, report)
 
@@ -269,6 +264,7 @@
             since_s=round(now - item.member.percent_at_s, 1),
         )
         self._metrics.count("runs_stalled")
+        self._wake()
 
     def _take_absent(self, item: OpenMember, report: WorkerReport) -> None:
         """End a member that was stopped before it was there."""
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -261,7 +261,7 @@
                 state = JobState(make_job(job_id), 1, 0.0)
                 state.units[(0, 0, 0)].place([WORKER], now_s())
                 control.runs.jobs.add(state, restored=True)
-            for item in list(control.runs.jobs.open_members()):
+            for item in control.runs.jobs.members:
                 control.runs.jobs.end_member(item, Ending.FAILED)
         assert kept.find(LogEvent.WORKER_SET_ASIDE)["worker"] == WORKER
 
