--- a/hickorywing/livejobs.py
+++ b/hickorywing/livejobs.py
@@ -15,6 +15,7 @@
 from hickorywing.openmembers import OpenMember
 from hickorywing.openmembers import OpenMembers
 from hickorywing.policy.poolhealth import WorkerHealth
+from hickorywing.policy.poolpreemption import price_cores
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import Member
@@ -158,6 +159,8 @@
             took_s=round(now_s() - unit.placed_at_s, 2),
             estimate_s=item.step.estimate_s,
             percent=member.percent,
+            cores=price_cores(item.step),
+            saves=item.step.checkpoints,
         )
         self._metrics.count("runs_ended", how=ending)
         if not unit.running and unit.displaced_at_s is not None:
--- a/hickorywing/policy/poolpreemption.py
+++ b/hickorywing/policy/poolpreemption.py
@@ -16,7 +16,13 @@
 from hickorywing.policy.poolroom import count_room
 from hickorywing.policy.poolruns import Unit
 
-__all__ = ["RunningUnit", "Sacrifice", "choose_victims", "release"]
+__all__ = [
+    "RunningUnit",
+    "Sacrifice",
+    "choose_victims",
+    "price_cores",
+    "release",
+]
 
 # The price of one accelerator in cores, as the users count thrown-away work.
 CORES_PER_ACCELERATOR = 8
@@ -39,9 +45,13 @@
     @property
     def cost(self) -> float:
         """Return the core-seconds that a stop throws away."""
-        cores = self.step.resources.cores_milli / 1000
-        cores += CORES_PER_ACCELERATOR * self.step.resources.accelerators
-        return self.lost_s * cores * self.unit.count
+        return self.lost_s * price_cores(self.step) * self.unit.count
+
+
+def price_cores(step: Step) -> float:
+    """Return what a task of a step holds, in cores."""
+    cores = step.resources.cores_milli / 1000
+    return cores + CORES_PER_ACCELERATOR * step.resources.accelerators
 
 
 @dataclass(slots=True)
--- a/hickorywing/ui.py
+++ b/hickorywing/ui.py
@@ -32,6 +32,7 @@
 from hickorywing.rules import hash_token
 from hickorywing.uilogs import explain_logs
 from hickorywing.uilogs import show_log_timeline
+from hickorywing.uilogs import show_waste
 from hickorywing.uitables import print_change
 from hickorywing.uitables import print_jobs
 from hickorywing.uitables import print_status
@@ -218,9 +219,21 @@
 @cappa.command(name="explain")
 @dataclass
 class Explain:
-    """Give an account of a job from the logs of all processes."""
+    """Give an account of a job from the logs of all processes.
 
-    job: Annotated[str, cappa.Arg(help="Id of the job.")]
+    With ``--waste`` the account is of the work that was thrown away; all
+    arguments are log files then.
+    """
+
+    job: Annotated[
+        str, cappa.Arg(help="Id of the job; a log file with --waste.")
+    ] = ""
+    waste: Annotated[
+        bool, cappa.Arg(long="--waste", help="Account for lost work.")
+    ] = False
+    png: Annotated[
+        str, cappa.Arg(long="--png", help="Draw lost work into a file.")
+    ] = ""
     logs: Annotated[
         list[Path], cappa.Arg(help="Log files; standard input for none.")
     ] = field(default_factory=list)
@@ -420,6 +433,12 @@
         print(hash_token(command.token))
         return ExitCode.DONE
     if isinstance(command, Explain):
+        if command.waste:
+            names = [command.job, *command.logs] if command.job else ["-"]
+            show_waste(names, options.json, command.png)
+            return ExitCode.DONE
+        if not command.job:
+            raise UserError("name a job, or say --waste")
         explain_logs(command.logs, command.job, options.json)
         return ExitCode.DONE
     if isinstance(command, Timeline) and command.logs:
--- a/hickorywing/uilogs.py
+++ b/hickorywing/uilogs.py
@@ -10,8 +10,11 @@
 from hickorywing.loglines import format_line
 from hickorywing.logtimeline import draw_timeline
 from hickorywing.logtimeline import read_timeline
+from hickorywing.waste import account_waste
+from hickorywing.waste import draw_waste
+from hickorywing.waste import format_waste
 
-__all__ = ["explain_logs", "show_log_timeline"]
+__all__ = ["explain_logs", "show_log_timeline", "show_waste"]
 
 
 def show_log_timeline(
@@ -44,3 +47,14 @@
         print(msgspec.json.encode(account).decode())
     else:
         print("\n".join(format_account(account)))
+
+
+def show_waste(names: list[str], as_json: bool, png: str) -> None:
+    """Print what was thrown away by cause, and draw it if a file is named."""
+    found = account_waste(read_logs(names))
+    if png:
+        draw_waste(found, Path(png))
+    if as_json:
+        print(msgspec.json.encode(found).decode())
+    else:
+        print("\n".join(format_waste(found)))
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -78,6 +78,8 @@
         "took_s",
         "estimate_s",
         "percent",
+        "cores",
+        "saves",
     },
 }
 
--- /dev/null
+++ b/tests/test_waste.py
@@ -0,0 +1,71 @@
+"""The account of thrown-away work from the logs."""
+
+import cappa
+import pytest
+
+from hickorywing.errors import UserError
+from hickorywing.ui import ExitCode
+from hickorywing.ui import Hickorywing
+from hickorywing.ui import run_command
+from hickorywing.waste import account_waste
+from hickorywing.waste import format_waste
+
+HEAD = '{"process":"e1","timestamp":"2026-01-01T00:00:01+00:00",'
+
+
+def end(how: str, stopping: str, took_s: float, saves: bool = False) -> str:
+    return (
+        HEAD + f'"event":"run ended","task":"a.0.0.0","how":"{how}",'
+        f'"stopping":"{stopping}","took_s":{took_s},"cores":10.0,'
+        f'"saves":{str(saves).lower()}}}'
+    )
+
+
+LINES = [
+    end("done", "", 9.0),
+    end("failed", "", 9.0),
+    end("stopped", "gives way to b", 2.0),
+    end("stopped", "gives way to b", 3.0, saves=True),
+    end("broken", "gives way to b", 1.0),
+    end("lapsed", "", 4.0, saves=True),
+    end("stopped", "job cancelled", 0.5),
+    "no line",
+]
+
+
+class TestWaste:
+    """Each end that is not done counts under its cause."""
+
+    def test_by_cause(self):
+        found = account_waste(LINES)
+        assert list(found) == [
+            "lease ran out",
+            "gave way to urgent work",
+            "job cancelled",
+        ]
+        gave_way = found["gave way to urgent work"]
+        assert gave_way.runs == 3
+        assert gave_way.lost == 30.0
+        assert gave_way.saved == 30.0
+
+    def test_lapsed_work_is_lost_although_it_checkpoints(self):
+        assert account_waste(LINES)["lease ran out"].lost == 40.0
+
+    def test_text_ends_with_the_sum(self):
+        last = format_waste(account_waste(LINES))[-1]
+        assert last.split() == ["all", "5", "75", "30"]
+
+    def test_command_line(self, tmp_path, capsys):
+        log = tmp_path / "e1.log"
+        log.write_text("\n".join(LINES))
+        picture = tmp_path / "waste.png"
+        arguments = ["explain", "--waste", "--png", str(picture), str(log)]
+        options = cappa.parse(Hickorywing, argv=arguments)
+        assert run_command(options) is ExitCode.DONE
+        assert "gave way to urgent work" in capsys.readouterr().out
+        assert picture.read_bytes().startswith(b"\x89PNG")
+
+    def test_command_line_without_a_job(self):
+        options = cappa.parse(Hickorywing, argv=["explain"])
+        with pytest.raises(UserError):
+            run_command(options)
