Offer the controller's role to a dozen entries at a time

Cause: a holder that the store turns away asked one entry after another, each for up to 0.5 s. With 35 entries that took longer than the leases of running work, so an outage of the store for all ended everything that ran, and a holder that was turned away alone waited for the entries before the one that could take over. Change: a dozen are asked at a time. Where several accept, the store lets one take over.

--- a/hickorywing/handover.py
+++ b/hickorywing/handover.py
@@ -45,6 +45,9 @@
 # quarter of a second while the store is slow.
 OFFER_TIMEOUT_S = 0.5
 RETRY_S = 0.5
+# Three rounds reach the entries of a pool of hundreds of workers, well within
+# a lease; more at a time would make as many candidates of the same term.
+OFFERS_AT_ONCE = 12
 
 
 class RoleOffer(msgspec.Struct, frozen=True):
@@ -117,16 +120,27 @@
 async def offer_role(
     offer: RoleOffer, peers: PeerBook, http: HttpClient
 ) -> OfferOutcome:
-    """Offer the role to one entry after another, so that only one takes it."""
+    """Offer the role to the other entries, several at a time.
+
+    With dozens of entries, of which many are turned away or gone as well, one
+    after another would take longer than the leases of running work. Where more
+    than one accepts, the store lets one of them take over.
+    """
     body = msgspec.json.encode(offer)
     vouched = True
-    for name, address in sorted(peers.addresses.items()):
-        answer = await ask_entry(address, body, http)
-        if answer.accepted:
-            return OfferOutcome(successor=name)
-        if answer.term > offer.epoch:
-            return OfferOutcome(newer_term=answer.term)
-        vouched = vouched and answer.vouches
+    entries = sorted(peers.addresses.items())
+    for begin in range(0, len(entries), OFFERS_AT_ONCE):
+        wave = entries[begin : begin + OFFERS_AT_ONCE]
+        answers = await asyncio.gather(
+            *(ask_entry(address, body, http) for _, address in wave)
+        )
+        for (name, _), answer in zip(wave, answers, strict=True):
+            if answer.accepted:
+                return OfferOutcome(successor=name)
+        newest = max(answer.term for answer in answers)
+        if newest > offer.epoch:
+            return OfferOutcome(newer_term=newest)
+        vouched = vouched and all(answer.vouches for answer in answers)
     return OfferOutcome(vouched=vouched)
 
 
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,86 @@
+"""Offers of the controller's role to the other entries."""
+
+import asyncio
+
+import msgspec
+
+from hickorywing.clock import now_s
+from hickorywing.handover import offer_role
+from hickorywing.handover import OFFER_TIMEOUT_S
+from hickorywing.handover import OfferAnswer
+from hickorywing.handover import RoleOffer
+from hickorywing.httpclient import CallTimeout
+from hickorywing.httpclient import HttpAnswer
+
+# As on an installation with hundreds of workers.
+ENTRIES = 35
+SLOW_READ_S = 0.4
+# A short lease of running work; renewals stop while nobody has vouched.
+LEASE_LIMIT_S = 6.0
+VOUCHES = OfferAnswer(vouches=True)
+
+
+class Peers:
+    """Entries that answer offers after a while, or not at all."""
+
+    def __init__(self, entries: int = ENTRIES) -> None:
+        self.addresses = {f"e{n:02}": f"h{n:02}" for n in range(entries)}
+        self.answers: dict[str, OfferAnswer | None] = {}
+        self.asked: list[str] = []
+
+    async def call(
+        self, method: str, url: str, timeout_s: float, body: bytes
+    ) -> HttpAnswer:
+        host = url.removeprefix("http://").removesuffix("/take-role")
+        self.asked.append(host)
+        await asyncio.sleep(SLOW_READ_S)
+        answer = self.answers.get(host, VOUCHES)
+        if answer is None:
+            await asyncio.sleep(timeout_s - SLOW_READ_S)
+            raise CallTimeout(url)
+        return HttpAnswer(200, msgspec.json.encode(answer))
+
+    async def offer(self) -> object:
+        return await offer_role(RoleOffer("p", 3), self, self)
+
+
+class TestOffers:
+    """The store is away for some of dozens of entries, or for all."""
+
+    async def test_all_vouch_well_within_a_lease(self):
+        peers = Peers()
+        began_s = now_s()
+        outcome = await peers.offer()
+        assert outcome.vouched
+        assert len(peers.asked) == ENTRIES
+        assert now_s() - began_s < LEASE_LIMIT_S / 3
+
+    async def test_silent_entries_do_not_add_up(self):
+        peers = Peers()
+        for number in range(ENTRIES // 2):
+            peers.answers[f"h{number:02}"] = None
+        began_s = now_s()
+        outcome = await peers.offer()
+        assert not outcome.vouched
+        rounds = (now_s() - began_s) / OFFER_TIMEOUT_S
+        assert rounds < ENTRIES / 8
+
+    async def test_first_that_accepts_ends_the_offers(self):
+        peers = Peers()
+        peers.answers["h02"] = OfferAnswer(accepted=True, term=3)
+        outcome = await peers.offer()
+        assert outcome.successor == "e02"
+        assert len(peers.asked) < ENTRIES
+
+    async def test_newer_term(self):
+        peers = Peers()
+        peers.answers["h30"] = OfferAnswer(term=4)
+        outcome = await peers.offer()
+        assert outcome.newer_term == 4
+
+    async def test_one_that_reaches_the_store_keeps_all_from_vouching(self):
+        peers = Peers()
+        peers.answers["h30"] = OfferAnswer(term=3)
+        outcome = await peers.offer()
+        assert not outcome.vouched
+        assert not outcome.newer_term
