Let strong entries compete for a controller's role first

Cause: which entry controls a pool was a matter of 0.1 s of chance. On the deployment of hundreds of machines 20 of 35 entries have half a core and 20 Mbit/s, a quarter of the others' cores. Change: an entry below one core or 100 Mbit/s lets others go first by up to 0.4 s, in proportion; settings tell what its VM has. The tests of a weak and a strong candidate need the new argument, so they can't run on the code before.

--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -34,6 +34,8 @@
 from hickorywing.jobrows import split_request_key
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
+from hickorywing.policy.candidacy import count_head_start_s
+from hickorywing.policy.candidacy import Strength
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.poolconfig import ConfigurationView
@@ -75,6 +77,7 @@
     log: DecisionLog
     metrics: Metrics
     peers: PeerBook
+    strength: Strength = Strength()
 
 
 class PoolController:
@@ -89,6 +92,7 @@
             parts.log,
             parts.metrics,
             self._offer_role,
+            count_head_start_s(parts.strength),
         )
         self._parts = parts
 
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -24,6 +24,7 @@
 from hickorywing.platform.callers import CallerTerms
 from hickorywing.platform.configsource import PlatformConfigurationSource
 from hickorywing.platform.store import PlatformStore
+from hickorywing.policy.candidacy import Strength
 from hickorywing.policy.poolprogress import ProgressTerms
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.poolcontroller import ControllerParts
@@ -185,6 +186,10 @@
             self._log,
             self._metrics,
             self._peers,
+            Strength(
+                self._settings.core_share * self._settings.core_speed,
+                self._settings.link_mbps,
+            ),
         )
         while True:
             for pool in self._view.pools() - self._controllers.keys():
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -65,7 +65,10 @@
 
 
 class PoolLease:
-    """One process's part in holding a pool's lease."""
+    """One process's part in holding a pool's lease.
+
+    ``head_start_s`` is for how long it lets stronger candidates go first.
+    """
 
     def __init__(
         self,
@@ -75,6 +78,7 @@
         log: DecisionLog,
         metrics: Metrics,
         offer: Callable[[int], Awaitable[OfferOutcome]] | None = None,
+        head_start_s: float = 0.0,
     ) -> None:
         self.pool = pool
         self.name = name
@@ -90,6 +94,7 @@
         self._renewal = 0
         self._tried_since_s: float | None = None
         self._offer = offer
+        self._head_start_s = head_start_s
         self._consented = 0
         self._consent_given = asyncio.Event()
         self.released = False
@@ -237,7 +242,8 @@
             await asyncio.sleep(RETRY_S)
 
     async def _take(self, row: StoredRow | None, lease: LeaseRow) -> bool:
-        await asyncio.sleep(random.uniform(0, CANDIDATE_SPREAD_S))
+        pause_s = random.uniform(0, CANDIDATE_SPREAD_S)
+        await asyncio.sleep(self._head_start_s + pause_s)
         try:
             epoch_row = await self._store.read_row(epoch_key(self.pool))
         except StoreUnavailable:
--- a/hickorywing/settings.py
+++ b/hickorywing/settings.py
@@ -91,7 +91,9 @@
     limits bound how old the configuration may be when a key is accepted, a
     task is started in a zone, or new callers are welcomed. A worker saves
     after each ``save_s`` of work and resumes in ``restore_s``. The status of
-    an ended job is answered for ``status_kept_s``.
+    an ended job is answered for ``status_kept_s``. The VM gives the entry
+    ``core_share`` of a core that is ``core_speed`` times as fast as others,
+    and a link of ``link_mbps``; by these the entries choose a controller.
     """
 
     name: str = Field(min_length=1)
@@ -108,6 +110,9 @@
     save_s: float = Field(default=0.5, gt=0)
     restore_s: float = Field(default=0.25, ge=0)
     drain_notice_s: float = Field(default=1.0, ge=0, le=60)
+    core_share: float = Field(default=1.0, gt=0)
+    core_speed: float = Field(default=1.0, gt=0)
+    link_mbps: float = Field(default=1000.0, gt=0)
 
 
 class PoolAgentSettings(Model):
--- a/tests/test_poollease.py
+++ b/tests/test_poollease.py
@@ -10,6 +10,8 @@
 from hickorywing.handover import answer_offer
 from hickorywing.handover import RoleOffer
 from hickorywing.metrics import Metrics
+from hickorywing.policy.candidacy import count_head_start_s
+from hickorywing.policy.candidacy import Strength
 from hickorywing.poollease import LEASE_S
 from hickorywing.poollease import OfferOutcome
 from hickorywing.poollease import PoolLease
@@ -30,6 +32,7 @@
         self.consenting = False
         self.loses_acceptance = False
         self.offered_s = float("inf")
+        self.head_starts_s: dict[str, float] = {}
         await self.begin("a")
         await self.wait(lambda: self.serving == ["a"])
         await self.begin("b")
@@ -43,7 +46,15 @@
     async def begin(self, name: str) -> None:
         metrics = Metrics(name)
         log = DecisionLog(name, "entry", metrics, KeptLines())
-        lease = PoolLease("p", name, self.ways[name], log, metrics, self.offer)
+        lease = PoolLease(
+            "p",
+            name,
+            self.ways[name],
+            log,
+            metrics,
+            self.offer,
+            self.head_starts_s.get(name, 0.0),
+        )
         self.leases[name] = lease
 
         async def serve() -> None:
@@ -77,6 +88,34 @@
         return loop.time() - began
 
 
+class TestStrongerEntries:
+    """Where a controller is wanted, strong entries go before weak ones."""
+
+    async def test_strong_one_takes_a_released_role(self):
+        async with Candidates() as both:
+            weak = Strength(cores=0.5, link_mbps=20.0)
+            both.head_starts_s["c"] = count_head_start_s(weak)
+            both.ways["c"] = both.ways["b"]
+            await both.begin("c")
+            await asyncio.sleep(0.1)
+            await both.leases["a"].release()
+            await both.wait(lambda: {"b", "c"} & set(both.serving))
+            assert "b" in both.serving
+
+    async def test_weak_one_takes_it_where_no_other_does(self):
+        async with Candidates() as both:
+            weak = Strength(cores=0.5, link_mbps=20.0)
+            both.head_starts_s["c"] = count_head_start_s(weak)
+            both.ways["c"] = both.ways["b"]
+            await both.begin("c")
+            both.tasks["b"].cancel()
+            await both.leases["a"].release()
+            await both.wait(lambda: "c" in both.serving)
+
+    def test_equally_strong_ones_do_not_wait(self):
+        assert count_head_start_s(Strength(2.0, 200.0)) == 0.0
+
+
 class TestTakeover:
     """A candidate waits for a whole lease, unless it needn't."""
 
