Plan in a new term only once workers stop becoming known

Cause: a new controller planned 0.3 s after its term began. Meeting hundreds of workers takes longer, above all on half a core, and a plan over those that happened to answer first stops running work for urgent jobs although there is room on others. Reading the rows was counted in as well. Change: it plans once all have answered, or none has become known for 0.3 s, or after 2 s; then for the rest of the term.

--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -38,6 +38,7 @@
 from hickorywing.policy.candidacy import Strength
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
+from hickorywing.policy.settling import Settling
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.poollease import OfferOutcome
 from hickorywing.poollease import PoolLease
@@ -60,9 +61,6 @@
 # Entries often start together, and the first holder before the others.
 FIRST_PEERS_S = 0.5
 SWEEP_EVERY_S = 10.0
-# Agents answer a new controller within a few round trips and one look at
-# their worker; those that are away are not waited for.
-SETTLE_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,7 +151,7 @@
         )
         self._committer = Committer(lease, parts.store, log)
         self._counts: dict[str, int] = {}
-        self._began_s = now_s()
+        self._settling = Settling(now_s())
         self._agents_read = False
         self._runs = RunControl(
             lease,
@@ -170,11 +168,9 @@
 
         A plan over the first few would stop work although others have room.
         """
-        if now_s() - self._began_s >= SETTLE_S:
-            return True
-        return self._agents_read and all(
-            link.worker for link, _ in self._links.values()
-        )
+        workers = {link.worker for link, _ in self._links.values()}
+        all_known = self._agents_read and "" not in workers
+        return self._settling.is_settled(now_s(), workers - {""}, all_known)
 
     async def run(self) -> None:
         """Load the rows, then follow them until the role is lost."""
