Free and keep room over several racks for gangs wider than a rack

Cause: a gang that should share a rack stopped others' work, and had room kept, only within single racks, also where no rack could ever hold it. On full workers an urgent gang of ten whole workers in racks of eight began only when free room happened to be enough, whatever its customer's guarantee; a wide one of less urgent work could starve. It also waited 1.5 s in vain before it was placed over several racks that were free. The same held for data on a rack that is gone. Found by reading the searches while making them cheaper. Ruled out: the search for victims itself, which takes any group of workers. Change: only racks that could hold the unit are waited for; where there is none, all workers count. An urgent unit whose racks all hold work as urgent takes others after 1.5 s. Reservations, at most two at a time before, may keep a quarter of a pool's accelerators.

--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -35,11 +35,13 @@
 # it stops any. A stop takes up to 0.4 s itself.
 END_WAIT_S = 0.5
 # Room is kept for a unit that has waited this long and is so large that small
-# ones would go on taking what becomes free. More than a few reservations at a
-# time would leave too many workers idle.
+# ones would go on taking what becomes free. A few reservations at a time are
+# made on any pool, and more only for a share of its accelerators, as what is
+# kept stands idle meanwhile.
 RESERVE_AFTER_S = 1.0
 RESERVE_ACCELERATORS = 4
 RESERVED_UNITS = 2
+RESERVED_SHARE = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +105,8 @@
         self._stopped: set[tuple] = set()
         self._plan = Plan()
         self._reserved = 0
+        self._reserved_accelerators = 0
+        self._holding_racks: dict[Step, frozenset[str]] = {}
         # Tasks of a step ask for the same, and room only shrinks in a plan.
         self._unplaceable: set[tuple] = set()
         self._releases = index_releases(state.running)
@@ -181,6 +185,7 @@
                 },
                 state.workers,
                 self._present(waiting),
+                self._find_holding_racks(waiting.step),
                 state.now_s,
             )
             if workers is not None:
@@ -206,7 +211,7 @@
         if (
             waited_s < RESERVE_AFTER_S
             or size < RESERVE_ACCELERATORS
-            or self._reserved >= RESERVED_UNITS
+            or not self._may_reserve(size)
         ):
             return None
         best: Reservation | None = None
@@ -226,8 +231,28 @@
         if best is None:
             return None
         self._reserved += 1
+        self._reserved_accelerators += size
         return best.workers
 
+    def _may_reserve(self, accelerators: int) -> bool:
+        """Tell whether room may be kept for one more unit."""
+        if self._reserved < RESERVED_UNITS:
+            return True
+        whole = sum(
+            facts.capacity.accelerators
+            for facts in self._state.workers.values()
+        )
+        wanted = self._reserved_accelerators + accelerators
+        return wanted <= RESERVED_SHARE * whole
+
+    def _find_holding_racks(self, step: Step) -> frozenset[str]:
+        """Return the racks that could hold a unit of the step alone."""
+        if step not in self._holding_racks:
+            self._holding_racks[step] = find_holding_racks(
+                step, self._state.workers
+            )
+        return self._holding_racks[step]
+
     def _present(self, waiting: WaitingUnit) -> Counter:
         """Count the tasks of the unit's step on each worker."""
         return self._spread.get(waiting.unit.step_key, Counter())
@@ -253,7 +278,6 @@
 
     def _preempt(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
         """Stop the work that loses least; return where the unit then fits."""
-        step = waiting.step
         victims = {
             worker: [
                 item
@@ -265,38 +289,58 @@
         }
         best: Sacrifice | None = None
         for group in self._groups_for(waiting):
-            found = choose_victims(
-                step,
-                waiting.unit.count,
-                group,
-                self._soon,
-                self._present(waiting),
-                victims,
-            )
+            found = self._choose_victims(waiting, group, victims)
             if found is not None and (best is None or found.cost < best.cost):
                 best = found
+        waited_s = self._state.now_s - waiting.unit.waiting_since_s
+        if best is None and waited_s >= DATA_WAIT_S:
+            # No rack can be freed, as all have work that is as urgent.
+            allowed = self._list_allowed(waiting)
+            best = self._choose_victims(waiting, allowed, victims)
         if best is None:
             return None
         for item in best.victims:
             self._stop(item, waiting.unit)
         return tuple(best.workers)
 
+    def _choose_victims(
+        self,
+        waiting: WaitingUnit,
+        group: list[str],
+        victims: dict[str, list[RunningUnit]],
+    ) -> Sacrifice | None:
+        return choose_victims(
+            waiting.step,
+            waiting.unit.count,
+            group,
+            self._soon,
+            self._present(waiting),
+            victims,
+        )
+
     def _groups_for(self, waiting: WaitingUnit) -> list[list[str]]:
         """Return the groups of workers among which room may be freed.
 
         Work away from its data or over several racks takes several times as
-        long, so other workers come in only where no such group exists.
+        long, so other workers come in only where no rack could hold the unit.
         """
+        allowed = self._list_allowed(waiting)
+        racks = self._find_holding_racks(waiting.step)
+        groups = group_workers(
+            waiting.step, allowed, self._state.workers, racks
+        )
+        return groups or [allowed]
+
+    def _list_allowed(self, waiting: WaitingUnit) -> list[str]:
+        """Return the workers that the unit may be given to."""
         shunned = self._shunned(waiting)
-        allowed = [
+        return [
             worker
             for worker in find_allowed(
                 waiting.step, self._soon, self._state.workers
             )
             if worker not in shunned
         ]
-        groups = group_workers(waiting.step, allowed, self._state.workers)
-        return [group for group in groups if group] or [allowed]
 
     def _stop(self, victim: RunningUnit, unit: Unit) -> None:
         self._stopped.add(victim.unit.key)
@@ -333,31 +377,33 @@
     rooms: dict[str, Resources],
     workers: dict[str, WorkerFacts],
     present: Mapping[str, int],
+    racks: frozenset[str],
     now_s: float,
 ) -> tuple[str, ...] | None:
     """Return a worker for each task of the unit, or ``None``.
 
-    ``present`` counts the tasks of the same step that workers have already.
-    A unit is placed whole. Tasks that should share a rack are placed in one,
-    if any rack has the room, and else over several.
+    ``present`` counts the tasks of the same step that workers have already,
+    ``racks`` are those that could hold the unit alone. A unit is placed whole.
+    Tasks that should share a rack wait a moment for room in one that could
+    hold them, and are else placed over several.
     """
     step = waiting.step
     allowed = find_allowed(step, rooms, workers)
     count = waiting.unit.count
-    for group in group_workers(step, allowed, workers):
+    for group in group_workers(step, allowed, workers, racks):
         placed = fill_workers(step, count, group, rooms, present)
         if placed is not None:
             return placed
     waited_s = now_s - waiting.unit.waiting_since_s
-    if (step.data_rack or step.one_rack) and waited_s < DATA_WAIT_S:
+    if wishes_rack(step) and racks and waited_s < DATA_WAIT_S:
         return None
     return fill_workers(step, count, allowed, rooms, present)
 
 
 def find_allowed(
     step: Step,
-    rooms: Mapping[str, Resources],
-    workers: dict[str, WorkerFacts],
+    rooms: Mapping[str, object],
+    workers: Mapping[str, WorkerFacts],
 ) -> list[str]:
     """Return the workers that have the label a step requires."""
     label = step.required_label
@@ -368,18 +414,61 @@
     ]
 
 
+def wishes_rack(step: Step) -> bool:
+    """Tell whether a step's tasks are slower in some racks than in others."""
+    return bool(step.data_rack) or step.one_rack
+
+
+def find_holding_racks(
+    step: Step, workers: Mapping[str, WorkerFacts]
+) -> frozenset[str]:
+    """Return the racks on which a unit of a step would fit if nothing ran.
+
+    Answers gangs that are wider than a rack, and data on a rack that is gone:
+    waiting for such a rack would be in vain.
+    """
+    if not wishes_rack(step):
+        return frozenset()
+    need = count_room(step)
+    count = step.count if step.gang else 1
+    slots: Counter[str] = Counter()
+    for worker in find_allowed(step, workers, workers):
+        facts = workers[worker]
+        if step.data_rack in ("", facts.rack):
+            slots[facts.rack] += count_slots(
+                need, facts.capacity, step.spread_limit or count
+            )
+    return frozenset(rack for rack in slots if slots[rack] >= count)
+
+
+def count_slots(need: Resources, room: Resources, most: int) -> int:
+    """Return how many equal tasks fit into a room, ``most`` at most."""
+    slots = most
+    for wanted, there in (
+        (need.cores_milli, room.cores_milli),
+        (need.memory_mb, room.memory_mb),
+        (need.accelerators, room.accelerators),
+    ):
+        if wanted > 0:
+            slots = min(slots, there // wanted)
+    return max(0, slots)
+
+
 def group_workers(
-    step: Step, allowed: list[str], workers: dict[str, WorkerFacts]
+    step: Step,
+    allowed: Iterable[str],
+    workers: Mapping[str, WorkerFacts],
+    racks: frozenset[str],
 ) -> list[list[str]]:
-    """Return the groups of workers to try first."""
-    racks: dict[str, list[str]] = {}
+    """Return the groups of workers to try first, one for each rack."""
+    if not wishes_rack(step):
+        return []
+    groups: dict[str, list[str]] = {}
     for worker in allowed:
-        racks.setdefault(workers[worker].rack, []).append(worker)
-    if step.data_rack:
-        return [racks.get(step.data_rack, [])]
-    if step.one_rack:
-        return [racks[rack] for rack in sorted(racks)]
-    return []
+        rack = workers[worker].rack
+        if rack in racks:
+            groups.setdefault(rack, []).append(worker)
+    return [groups[rack] for rack in sorted(groups)]
 
 
 def fill_workers(
--- a/tests/test_poolplanner.py
+++ b/tests/test_poolplanner.py
@@ -238,3 +238,101 @@
         )
         assert pool.run().starts == []
         assert len(tried) <= 20 * TRIES_PER_STEP
+
+
+class TestWideGangs:
+    """Gangs that should share a rack and are wider than any rack.
+
+    The load: hundreds of workers in racks of eight, urgent gangs to 32 wide
+    that ask for whole workers, and all workers full.
+    """
+
+    def fill(self, pool: Pool) -> None:
+        whole = (gpu_step(8, count=len(pool.facts)),)
+        pool.add(make_job("old", steps=whole, priority=2))
+        pool.run()
+        pool.now_s += 10
+
+    def test_urgent_one_stops_work_in_several_racks(self):
+        pool = Pool(workers=8, rack_size=2)
+        self.fill(pool)
+        wide = gpu_step(8, count=3, gang=True, one_rack=True)
+        pool.add(make_job("new", steps=(wide,), priority=0))
+        pool.now_s += 0.6
+        assert len(pool.run().stops) == 3
+
+    def test_starts_at_once_on_free_workers(self):
+        pool = Pool(workers=8, rack_size=2)
+        wide = gpu_step(8, count=3, gang=True, one_rack=True)
+        pool.add(make_job("new", steps=(wide,)))
+        assert len(pool.run().starts) == 1
+
+    def test_one_that_fits_a_rack_stops_work_in_one(self):
+        pool = Pool(workers=8, rack_size=2)
+        self.fill(pool)
+        fits = gpu_step(8, count=2, gang=True, one_rack=True)
+        pool.add(make_job("new", steps=(fits,), priority=0))
+        pool.now_s += 0.6
+        stops = pool.run().stops
+        racks = {
+            pool.facts[victim.members[0].worker].rack for victim, _ in stops
+        }
+        assert len(stops) == 2
+        assert len(racks) == 1
+
+    def test_urgent_one_whose_racks_hold_urgent_work_takes_others(self):
+        pool = Pool(workers=4, rack_size=2)
+        for number in range(2):
+            pool.add(make_job(f"u{number}", steps=(gpu_step(8),), priority=0))
+            # Each takes a worker of another rack.
+            taken = ("w0", "w2")[number]
+            pool.jobs[f"u{number}"].units[(0, 0, 0)].place([taken], 100.0)
+        self.fill(pool)
+        fits = gpu_step(8, count=2, gang=True, one_rack=True)
+        pool.add(make_job("new", steps=(fits,), priority=0))
+        pool.now_s += 0.6
+        assert pool.run().stops == []
+        pool.now_s += 1.0
+        assert len(pool.run().stops) == 2
+
+    def test_room_is_kept_over_several_racks(self):
+        pool = Pool(workers=8, rack_size=2)
+        self.fill(pool)
+        wide = gpu_step(8, count=3, gang=True, one_rack=True)
+        pool.add(make_job("wide", steps=(wide,)))
+        pool.now_s += 2.0
+        pool.run()
+        old = pool.jobs["old"]
+        for unit in list(old.running_units())[:2]:
+            unit.end(unit.members[0], Ending.DONE)
+        pool.add(make_job("small", steps=(gpu_step(1),)))
+        assert pool.run().starts == []
+
+    def test_data_on_a_rack_that_is_gone_is_not_waited_for(self):
+        pool = Pool(workers=2, rack_size=2)
+        pool.add(make_job("new", steps=(gpu_step(8, data_rack="r9"),)))
+        assert len(pool.run().starts) == 1
+
+
+class TestReservationsAtScale:
+    """Many customers' gangs wait for room at a time on many workers."""
+
+    def test_their_number_grows_with_the_pool(self):
+        pool = Pool(workers=64, rack_size=8)
+        pool.add(make_job("old", steps=(gpu_step(8, count=64),), priority=2))
+        pool.run()
+        pool.now_s += 10
+        for rack in range(4):
+            gang = gpu_step(8, count=2, gang=True, required_label=f"r{rack}")
+            pool.add(make_job(f"gang{rack}", steps=(gang,)))
+            self.free_one(pool, f"w{8 * rack}")
+        pool.now_s += 2.0
+        for rack in range(4):
+            small = gpu_step(1, required_label=f"r{rack}")
+            pool.add(make_job(f"small{rack}", steps=(small,), priority=2))
+        assert pool.run().starts == []
+
+    def free_one(self, pool: Pool, worker: str) -> None:
+        for unit in pool.jobs["old"].running_units():
+            if unit.members[0].worker == worker:
+                unit.end(unit.members[0], Ending.DONE)
