Date runs by the store's clock instead of the time of day

Cause: a progress row held the Unix time of a run's placement, so a successor whose time of day differs, or had jumped by seconds, took its runs for older or younger than they are, and with it what a stop would lose and whether they stand still. Change: the row holds the store's steady clock, which comes with each answer. Only due times of occurrences still use the time of day. The test of a jumped clock fails on the code before.

--- a/hickorywing/committer.py
+++ b/hickorywing/committer.py
@@ -62,6 +62,10 @@
             return 0.0
         return now_s() - self._busy_since_s
 
+    def clock_s(self) -> float:
+        """Return the store's clock now, in seconds."""
+        return self._store.clock_s()
+
     def put(
         self, key: RowKey, encode: Encode, stored: Stored | None = None
     ) -> None:
--- a/hickorywing/jobrows.py
+++ b/hickorywing/jobrows.py
@@ -17,8 +17,6 @@
 ==========  ==================  ============================  ==============
 """
 
-import time
-
 import msgspec
 
 from hickorywing.clock import now_s
@@ -84,7 +82,8 @@
     """A unit that was started at least once.
 
     ``members`` holds the task's index, the worker and the ending, empty while
-    the member may be at work.
+    the member may be at work. ``placed_at_s`` is by the store's clock, which
+    all controllers share and which never jumps.
     """
 
     occurrence: int
@@ -95,7 +94,7 @@
     done: bool
     saved: str
     members: list[tuple[int, str, str]]
-    placed_unix_s: float = 0.0
+    placed_at_s: float = 0.0
 
 
 class ProgressRow(msgspec.Struct, array_like=True):
@@ -161,8 +160,12 @@
     return msgspec.msgpack.decode(value, type=PoolJob)
 
 
-def encode_progress(state: JobState) -> bytes:
-    """Return the value of a job's progress row."""
+def encode_progress(state: JobState, store_clock_s: float) -> bytes:
+    """Return the value of a job's progress row.
+
+    ``store_clock_s`` is the store's clock now.
+    """
+    ahead_s = store_clock_s - now_s()
     units = [
         UnitRow(
             unit.occurrence,
@@ -178,7 +181,7 @@
                 (item.index, item.worker, item.ending or "")
                 for item in unit.members
             ],
-            0.0 if unit.done else round(unix_of(unit.placed_at_s), 1),
+            0.0 if unit.done else round(unit.placed_at_s + ahead_s, 1),
         )
         for unit in state.units.values()
         if unit.run
@@ -188,18 +191,18 @@
     )
 
 
-def unix_of(moment_s: float) -> float:
-    """Return a moment of this process's clock in seconds of Unix time."""
-    return time.time() - (now_s() - moment_s)
-
-
 def decode_status(value: bytes) -> JobStatus:
     """Return the status in a progress row."""
     return msgspec.msgpack.decode(value, type=ProgressRow).status
 
 
-def restore_progress(state: JobState, value: bytes) -> None:
-    """Set a job's state to what its progress row holds."""
+def restore_progress(
+    state: JobState, value: bytes, store_clock_s: float
+) -> None:
+    """Set a job's state to what its progress row holds.
+
+    ``store_clock_s`` is the store's clock now.
+    """
     row = msgspec.msgpack.decode(value, type=ProgressRow)
     state.status = row.status
     state.finished = set(row.finished)
@@ -207,10 +210,10 @@
         key = (item.occurrence, item.step, item.first)
         if key not in state.units:
             state.open_occurrence(item.occurrence, now_s())
-        restore_unit(state.units[key], item)
+        restore_unit(state.units[key], item, store_clock_s)
 
 
-def restore_unit(unit: Unit, row: UnitRow) -> None:
+def restore_unit(unit: Unit, row: UnitRow, store_clock_s: float) -> None:
     """Set a unit to what its row holds.
 
     Start orders of earlier controllers may still be under way, so each open
@@ -221,7 +224,7 @@
     unit.done = row.done
     unit.saved = row.saved
     unit.committed = True
-    unit.placed_at_s = now_s() - (time.time() - row.placed_unix_s)
+    unit.placed_at_s = now_s() - (store_clock_s - row.placed_at_s)
     unit.members = [
         Member(index, worker, Ending(ending) if ending else None, tries=1)
         for index, worker, ending in row.members
--- a/hickorywing/livejobs.py
+++ b/hickorywing/livejobs.py
@@ -227,6 +227,6 @@
         """Have a job's progress stored; ``stored`` is called afterwards."""
         self._committer.put(
             progress_key(self._pool, state.job.job_id),
-            lambda: encode_progress(state),
+            lambda: encode_progress(state, self._committer.clock_s()),
             stored,
         )
--- a/hickorywing/platform/store.py
+++ b/hickorywing/platform/store.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hickorywing.clock import now_s
 from hickorywing.httpclient import CallError
 from hickorywing.httpclient import HttpAnswer
 from hickorywing.httpclient import HttpClient
@@ -60,10 +61,14 @@
 
 
 class WirePage(msgspec.Struct, rename="kebab"):
-    """Rows in an answer; ``ver`` is the newest version of the store."""
+    """Rows in an answer.
+
+    ``ver`` is the newest version of the store and ``now_ms`` its steady clock.
+    """
 
     rows: list[WireRow] = []
     ver: int = 0
+    now_ms: int = 0
     has_more: bool = False
 
 
@@ -122,11 +127,21 @@
         self._http = http
         self._metrics = metrics
         self._reachable = True
+        # How far the store's clock is ahead of this process's.
+        self._clock_ahead_s = 0.0
 
     def is_reachable(self) -> bool:
         """Tell whether the last call that ended got an answer."""
         return self._reachable
 
+    def clock_s(self) -> float:
+        """Return the store's steady clock by its latest answer."""
+        return now_s() + self._clock_ahead_s
+
+    def _read_clock(self, page: WirePage) -> None:
+        if page.now_ms:
+            self._clock_ahead_s = page.now_ms / 1000 - now_s()
+
     async def _call(
         self, method: str, url: str, timeout_s: float, body: bytes | None
     ) -> HttpAnswer:
@@ -195,7 +210,9 @@
         if end:
             query["target"] = end
         answer = await self._get("rows-get", query, CALL_TIMEOUT_S)
-        return decode_page(answer)
+        page = decode_page(answer)
+        self._read_clock(page)
+        return page
 
     async def follow(
         self, table: str, after_version: int, wait_s: float
@@ -210,6 +227,7 @@
         if answer.status == 410:
             raise HistoryLost(f"{table} after {after_version}")
         page = decode_page(answer)
+        self._read_clock(page)
         return FeedPage(tuple(row.decode() for row in page.rows), page.ver)
 
     async def _get(
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -284,7 +284,7 @@
         state = JobState(job, row.version, now_s())
         stored = None if progress is None else progress.get(job_id)
         if stored is not None and stored.value is not None:
-            restore_progress(state, stored.value)
+            restore_progress(state, stored.value, self._store.clock_s())
         self._runs.jobs.add(state, restored=progress is not None)
 
     async def _follow_agents(self) -> None:
--- a/hickorywing/rows.py
+++ b/hickorywing/rows.py
@@ -11,6 +11,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from hickorywing.clock import now_s
 from hickorywing.commits import Committed
 from hickorywing.commits import Refused
 from hickorywing.commits import Unknown
@@ -160,6 +161,13 @@
         """Tell whether the last call that ended got an answer."""
         return True
 
+    def clock_s(self) -> float:
+        """Return the store's steady clock, the same for all processes.
+
+        It is an estimate from the latest answer, in seconds.
+        """
+        return now_s()
+
     async def read_row(self, key: RowKey) -> StoredRow | None:
         """Return one row, if it exists; raise ``StoreUnavailable``."""
         # The NUL byte makes the smallest key that is greater than this one.
--- a/hickorywing/standins/platformstore.py
+++ b/hickorywing/standins/platformstore.py
@@ -8,6 +8,7 @@
 from blacksheep import Response
 import msgspec
 
+from hickorywing.clock import now_s
 from hickorywing.rows import Committed
 from hickorywing.rows import HistoryLost
 from hickorywing.rows import Mismatch
@@ -25,6 +26,8 @@
 
 __all__ = ["PlatformStoreStandin"]
 
+STARTED_S = now_s()
+
 
 class PlatformStoreStandin:
     """The store's calls, over rows in memory."""
@@ -45,7 +48,9 @@
         body = msgspec.json.decode(await request.read() or b"{}")
         outcome = await self.store.commit(decode_transaction(body))
         if isinstance(outcome, Committed):
-            return answer_json(200, {"ver": outcome.version, "now-ms": 0})
+            return answer_json(
+                200, {"ver": outcome.version, "now-ms": clock_ms()}
+            )
         if isinstance(outcome, Mismatch):
             rows = [encode_row(row) for row in outcome.rows]
             return answer_json(412, {"rows": rows, "ver": self.store.version})
@@ -65,7 +70,13 @@
             return answer_json(503, {})
         rows = [encode_row(row) for row in read.rows]
         return answer_json(
-            200, {"rows": rows, "has-more": False, "ver": read.version}
+            200,
+            {
+                "rows": rows,
+                "has-more": False,
+                "ver": read.version,
+                "now-ms": clock_ms(),
+            },
         )
 
     async def handle_feed(self, request: Request) -> Response:
@@ -82,7 +93,14 @@
         except StoreUnavailable:
             return answer_json(503, {})
         rows = [encode_row(row) for row in page.rows]
-        return answer_json(200, {"rows": rows, "ver": page.version})
+        return answer_json(
+            200, {"rows": rows, "ver": page.version, "now-ms": clock_ms()}
+        )
+
+
+def clock_ms() -> int:
+    """Return the store's steady clock, in milliseconds since it started."""
+    return int((now_s() - STARTED_S) * 1000) + 1
 
 
 def read_query(request: Request) -> dict[str, str]:
--- a/tests/test_jobdesk.py
+++ b/tests/test_jobdesk.py
@@ -119,7 +119,7 @@
     def end_job(self, store: MemoryRowStore) -> None:
         state = JobState(make_job(), 1, 0.0)
         state.status = JobStatus.COMPLETED
-        store.put(progress_key("p", "j1"), encode_progress(state))
+        store.put(progress_key("p", "j1"), encode_progress(state, now_s()))
 
     async def ask(self, desk: JobDesk) -> JobStatus:
         return (await desk.find_status("p", "j1")).status
--- a/tests/test_platformstore.py
+++ b/tests/test_platformstore.py
@@ -5,6 +5,7 @@
 from platformsystem import free_address
 import pytest
 
+from hickorywing.clock import now_s
 from hickorywing.httpclient import HttpClient
 from hickorywing.metrics import Metrics
 from hickorywing.platform.store import PlatformStore
@@ -18,6 +19,7 @@
 from hickorywing.rows import RowWrite
 from hickorywing.rows import StoreUnavailable
 from hickorywing.rows import Unknown
+from hickorywing.standins import platformstore
 from hickorywing.standins.platformstore import PlatformStoreStandin
 from hickorywing.standins.rowstore import MemoryRowStore
 from hickorywing.standins.rowstore import StoreFault
@@ -107,3 +109,9 @@
         rows.down = True
         with pytest.raises(StoreUnavailable):
             await store.read_row(KEY)
+
+    async def test_clock_is_the_store_s(self, served, monkeypatch):
+        _, store = served
+        monkeypatch.setattr(platformstore, "STARTED_S", now_s() - 1000.0)
+        await store.read_row(KEY)
+        assert abs(store.clock_s() - 1000.0) < 0.5
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -1,6 +1,7 @@
 """A controller's jobs and rows, without workers or processes."""
 
 import asyncio
+import time
 
 from cutstore import CutStore
 from poolhelpers import KeptLines
@@ -303,9 +304,23 @@
         unit.place(["vm/w@2"], 0.0)
         state.update_status()
         again = JobState(state.job, 1, 0.0)
-        restore_progress(again, encode_progress(state))
+        restore_progress(again, encode_progress(state, 7.0), 7.0)
         found = again.units[(0, 0, 0)]
         assert again.status is JobStatus.ACTIVE
         assert (found.run, found.failures, found.saved) == (2, 1, "save-1")
         assert found.members[0].worker == "vm/w@2"
         assert found.running
+
+    def test_age_of_a_run_does_not_depend_on_the_time_of_day(
+        self, monkeypatch
+    ):
+        """Times of day jump and differ; the store's clock does not."""
+        state = JobState(make_job(), 1, 0.0)
+        unit = state.units[(0, 0, 0)]
+        unit.place(["vm/w@1"], now_s() - 4.0)
+        row = encode_progress(state, 500.0)
+        monkeypatch.setattr(time, "time", lambda: 86_400.0)
+        again = JobState(state.job, 1, 0.0)
+        restore_progress(again, row, 503.0)
+        age_s = now_s() - again.units[(0, 0, 0)].placed_at_s
+        assert abs(age_s - 7.0) < 0.2
