Follow the lease instead of reading it after each renewal

Cause: every candidate read the lease row again after each change of the table, so 35 entries made some 90 reads a second more for the renewals of one holder. Change: the row is read once and its changes are taken from the feed; it is read again after a gap, an outage, a consent or a lost race.

--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -26,6 +26,7 @@
 from hickorywing.rows import Commit
 from hickorywing.rows import commit_checked
 from hickorywing.rows import Committed
+from hickorywing.rows import FeedPage
 from hickorywing.rows import HistoryLost
 from hickorywing.rows import Mismatch
 from hickorywing.rows import RowExpectation
@@ -188,12 +189,19 @@
         )
 
     async def _acquire(self) -> bool:
-        """Return once the lease is held; ``False`` after a release."""
+        """Return once the lease is held; ``False`` after a release.
+
+        The row is read once and then followed, as each renewal is news to
+        every candidate and there may be dozens of them.
+        """
         seen: StoredRow | None = None
         still_since: float | None = None
+        version: int | None = None
+        row: StoredRow | None = None
         while not self.released:
             try:
-                row = await self._store.read_row(lease_key(self.pool))
+                if version is None:
+                    row, version = await self._read_lease()
             except StoreUnavailable:
                 still_since = None
                 await asyncio.sleep(RETRY_S)
@@ -210,37 +218,60 @@
             if vacant or at - still_since >= LEASE_S:
                 if await self._take(row, lease):
                     return True
-                still_since = None
+                still_since = version = None
                 continue
-            await self._wait_for_change(row, LEASE_S - (at - still_since))
+            try:
+                page = await self._wait_for_change(
+                    version, LEASE_S - (at - still_since)
+                )
+            except StoreUnavailable:
+                still_since = version = None
+                await asyncio.sleep(RETRY_S)
+                continue
+            if page is None:
+                version = None
+                continue
+            version = page.version
+            for changed in page.rows:
+                if changed.key == lease_key(self.pool):
+                    row = changed
         return False
 
+    async def _read_lease(self) -> tuple[StoredRow | None, int]:
+        """Return the row and the version from which on to follow it."""
+        key = lease_key(self.pool)
+        read = await self._store.read_part(
+            key.table, key.part, key.key, key.key + "\0"
+        )
+        return (read.rows[0] if read.rows else None), read.version
+
     async def _wait_for_change(
-        self, row: StoredRow | None, left_s: float
-    ) -> None:
-        """Return when the row may have changed or a lease time is over.
+        self, version: int, left_s: float
+    ) -> FeedPage | None:
+        """Return what has changed, at the latest when a lease time is over.
 
-        Returns at once when the holder gives its consent.
+        Returns ``None`` if the row has to be read again: when the holder gives
+        its consent, or the feed has a gap. Raises ``StoreUnavailable``.
         """
         self._consent_given.clear()
         consent = asyncio.ensure_future(self._consent_given.wait())
-        change = asyncio.ensure_future(self._follow(row, left_s))
+        change = asyncio.ensure_future(
+            self._store.follow(LEASES, version, min(left_s, WATCH_S))
+        )
         try:
             await asyncio.wait(
                 (consent, change), return_when=asyncio.FIRST_COMPLETED
             )
+            return change.result() if change.done() else None
+        except HistoryLost:
+            # A feed that loses its history at once must not be tried again
+            # and again without a pause.
+            await asyncio.sleep(RETRY_S)
+            return None
         finally:
             consent.cancel()
             change.cancel()
 
-    async def _follow(self, row: StoredRow | None, left_s: float) -> None:
-        try:
-            await self._store.follow(
-                LEASES, version_of(row), min(left_s, WATCH_S)
-            )
-        except (StoreUnavailable, HistoryLost):
-            await asyncio.sleep(RETRY_S)
-
     async def _take(self, row: StoredRow | None, lease: LeaseRow) -> bool:
         pause_s = random.uniform(0, CANDIDATE_SPREAD_S)
         await asyncio.sleep(self._head_start_s + pause_s)
--- a/tests/test_poollease.py
+++ b/tests/test_poollease.py
@@ -88,6 +88,29 @@
         return loop.time() - began
 
 
+class TestDozensOfCandidates:
+    """Each renewal is news to every entry, so it must cost few calls."""
+
+    async def test_renewals_are_followed_and_not_read(self, monkeypatch):
+        async with Candidates() as both:
+            reads = []
+            way = both.ways["b"]
+            read_part = way.read_part
+
+            async def count(*where):
+                reads.append(where)
+                return await read_part(*where)
+
+            monkeypatch.setattr(way, "read_part", count)
+            renewals = both.leases["a"]._renewal
+            await both.wait(
+                lambda: both.leases["a"]._renewal >= renewals + 4,
+                timeout_s=4 * LEASE_S,
+            )
+            assert len(reads) <= 1
+            assert both.serving == ["a"]
+
+
 class TestStrongerEntries:
     """Where a controller is wanted, strong entries go before weak ones."""
 
