Keep statuses in rows of their own, which every entry follows

Cause: each entry followed the progress rows to answer for jobs' statuses. They change with each placement, end and save, so 35 entries fetched some 500 pages a second, with rows of up to 14 KB for steps of 230 tasks, over links of 20 Mbit/s. A status changes three times in a job's life. Ruled out: pausing between the calls of the feed, which shows callers ends later. Change: the status has a row of 10 bytes, written in the same transaction as the progress that it follows; a successor writes those that are behind. Tests: nine placements and nine saves write one status (each wrote the followed row before).

--- a/hickorywing/committer.py
+++ b/hickorywing/committer.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
 
 import msgspec
 
@@ -41,6 +43,15 @@
 Stored = Callable[[], None]
 
 
+@dataclass(slots=True)
+class Wanted:
+    """What is to be written together; ``beside`` has rows of their own."""
+
+    encode: Encode
+    stored: list[Stored] = field(default_factory=list)
+    beside: dict[RowKey, Encode] = field(default_factory=dict)
+
+
 class Committer:
     """Keeps rows equal to what a controller wants them to hold."""
 
@@ -51,7 +62,7 @@
         self._lease = lease
         self._store = store
         self._log = log
-        self._dirty: dict[RowKey, tuple[Encode, list[Stored]]] = {}
+        self._dirty: dict[RowKey, Wanted] = {}
         self._removals: list[RowKey] = []
         self._wake = asyncio.Event()
         self._busy_since_s: float | None = None
@@ -67,18 +78,22 @@
         return self._store.clock_s()
 
     def put(
-        self, key: RowKey, encode: Encode, stored: Stored | None = None
+        self,
+        key: RowKey,
+        encode: Encode,
+        stored: Stored | None = None,
+        beside: dict[RowKey, Encode] | None = None,
     ) -> None:
         """Ask for a row to be written; its value is taken when it is sent.
 
         ``stored`` is called once a value that was taken after this call has
-        been committed.
+        been committed. The rows ``beside`` it share its transaction.
         """
-        waiting = self._dirty.get(key)
-        callbacks = [] if waiting is None else waiting[1]
+        wanted = self._dirty.setdefault(key, Wanted(encode))
+        wanted.encode = encode
         if stored is not None:
-            callbacks.append(stored)
-        self._dirty[key] = (encode, callbacks)
+            wanted.stored.append(stored)
+        wanted.beside.update(beside or {})
         self._wake.set()
 
     def remove(self, keys: Iterable[RowKey]) -> None:
@@ -114,19 +129,23 @@
                 self.versions.pop(key, None)
 
     async def _write_some(self) -> bool:
-        batch = {
-            key: self._dirty.pop(key)
-            for key in list(self._dirty)[:ROWS_PER_COMMIT]
-        }
-        values = {key: encode() for key, (encode, _) in batch.items()}
+        callbacks: list[Stored] = []
+        values: dict[RowKey, bytes] = {}
+        for key, wanted in list(self._dirty.items()):
+            if len(values) + 1 + len(wanted.beside) > ROWS_PER_COMMIT:
+                break
+            del self._dirty[key]
+            values[key] = wanted.encode()
+            for other, encode in wanted.beside.items():
+                values[other] = encode()
+            callbacks.extend(wanted.stored)
         self._busy_since_s = now_s()
         written = await self._commit(values)
         self._busy_since_s = None
         if not written:
             return False
-        for _, callbacks in batch.values():
-            for stored in callbacks:
-                stored()
+        for stored in callbacks:
+            stored()
         return True
 
     async def _commit(self, values: dict[RowKey, bytes]) -> bool:
--- a/hickorywing/jobrows.py
+++ b/hickorywing/jobrows.py
@@ -3,13 +3,17 @@
 All rows of a pool share one partition, so that a controller's transaction can
 demand that its epoch is still the newest. ``entries`` is without partitions.
 
+Every entry follows ``statuses``. It changes a few times in a job's life, while
+``progress`` changes with each run, and a row of it may take 14 KB.
+
 ==========  ==================  ============================  ==============
 table       key                 value                         written by
 ==========  ==================  ============================  ==============
 requests    ``job/ID``          the accepted job              an entry, once
 requests    ``cancel/ID``       empty                         an entry, once
 progress    ``ID``              status, runs and their places  controller
-progress    ``~QUEUE``          jobs that have not begun      controller
+statuses    ``ID``              status                        controller
+statuses    ``~QUEUE``          jobs that have not begun      controller
 leases      ``holder``          who controls the pool         candidates
 leases      ``epoch``           number of the present term    candidates
 agents      the agent's name    its address                   the agent
@@ -35,6 +39,7 @@
     "PROGRESS",
     "QUEUE_PREFIX",
     "REQUESTS",
+    "STATUSES",
     "AgentRow",
     "LeaseRow",
     "cancel_key",
@@ -42,6 +47,7 @@
     "decode_status",
     "encode_job",
     "encode_progress",
+    "encode_status",
     "entry_key",
     "epoch_key",
     "job_key",
@@ -50,10 +56,12 @@
     "queue_key",
     "restore_progress",
     "split_request_key",
+    "status_key",
 ]
 
 REQUESTS = "requests"
 PROGRESS = "progress"
+STATUSES = "statuses"
 LEASES = "leases"
 AGENTS = "agents"
 ENTRIES = "entries"
@@ -120,9 +128,14 @@
     return RowKey(PROGRESS, pool, job_id)
 
 
+def status_key(pool: str, job_id: str) -> RowKey:
+    """Return the key of a job's status, which no row tells while pending."""
+    return RowKey(STATUSES, pool, job_id)
+
+
 def queue_key(pool: str, queue: str) -> RowKey:
     """Return the key of a queue's count of jobs that have not begun."""
-    return RowKey(PROGRESS, pool, QUEUE_PREFIX + queue)
+    return RowKey(STATUSES, pool, QUEUE_PREFIX + queue)
 
 
 def lease_key(pool: str) -> RowKey:
@@ -191,9 +204,14 @@
     )
 
 
+def encode_status(status: JobStatus) -> bytes:
+    """Return the value of a job's status row."""
+    return msgspec.msgpack.encode(status)
+
+
 def decode_status(value: bytes) -> JobStatus:
-    """Return the status in a progress row."""
-    return msgspec.msgpack.decode(value, type=ProgressRow).status
+    """Return the status in a status row."""
+    return msgspec.msgpack.decode(value, type=JobStatus)
 
 
 def restore_progress(
--- a/hickorywing/livejobs.py
+++ b/hickorywing/livejobs.py
@@ -8,8 +8,10 @@
 from hickorywing.decisions import DecisionLog
 from hickorywing.jobrows import cancel_key
 from hickorywing.jobrows import encode_progress
+from hickorywing.jobrows import encode_status
 from hickorywing.jobrows import job_key
 from hickorywing.jobrows import progress_key
+from hickorywing.jobrows import status_key
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.openmembers import OpenMember
@@ -18,6 +20,7 @@
 from hickorywing.policy.poolpreemption import price_cores
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolruns import JobStatus
 from hickorywing.policy.poolruns import Member
 from hickorywing.policy.poolruns import parse_task
 from hickorywing.policy.poolruns import Unit
@@ -59,11 +62,14 @@
         self._cancels: set[str] = set()
         self._ended_s: dict[str, float] = {}
         self._unstored_saves: set[str] = set()
+        self._published: dict[str, JobStatus] = {}
 
     def add(self, state: JobState, restored: bool) -> None:
         """Take in an accepted job."""
         job = state.job
         self.accepted[job.job_id] = state
+        if state.status is not self._shown(job.job_id):
+            self.store(state)
         if state.final and not any(state.running_units()):
             return
         self.live[job.job_id] = state
@@ -123,12 +129,14 @@
                 ended.append(job_id)
         for job_id in ended:
             del self.accepted[job_id], self._ended_s[job_id]
+            self._published.pop(job_id, None)
             self._cancels.discard(job_id)
             self._committer.remove(
                 (
                     job_key(self._pool, job_id),
                     cancel_key(self._pool, job_id),
                     progress_key(self._pool, job_id),
+                    status_key(self._pool, job_id),
                 )
             )
         if ended:
@@ -224,9 +232,27 @@
     def store(
         self, state: JobState, stored: Callable[[], None] | None = None
     ) -> None:
-        """Have a job's progress stored; ``stored`` is called afterwards."""
+        """Have a job's progress stored; ``stored`` is called afterwards.
+
+        A status that differs from the one that callers see is written with it.
+        """
+        job_id = state.job.job_id
+        beside = {}
+        if state.status is not self._shown(job_id):
+            self._published[job_id] = state.status
+            key = status_key(self._pool, job_id)
+            beside[key] = lambda: encode_status(state.status)
         self._committer.put(
             progress_key(self._pool, state.job.job_id),
             lambda: encode_progress(state, self._committer.clock_s()),
             stored,
+            beside,
         )
+
+    def note_published(self, job_id: str, status: JobStatus) -> None:
+        """Take in which status of a job its row tells."""
+        self._published[job_id] = status
+
+    def _shown(self, job_id: str) -> JobStatus:
+        """Return the status that callers see, or soon will."""
+        return self._published.get(job_id, JobStatus.PENDING)
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -27,11 +27,14 @@
 from hickorywing.jobrows import AgentRow
 from hickorywing.jobrows import AGENTS
 from hickorywing.jobrows import decode_job
+from hickorywing.jobrows import decode_status
 from hickorywing.jobrows import PROGRESS
 from hickorywing.jobrows import queue_key
+from hickorywing.jobrows import QUEUE_PREFIX
 from hickorywing.jobrows import REQUESTS
 from hickorywing.jobrows import restore_progress
 from hickorywing.jobrows import split_request_key
+from hickorywing.jobrows import STATUSES
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.policy.candidacy import count_head_start_s
@@ -206,10 +209,13 @@
             try:
                 requests = await self._store.read_part(REQUESTS, self._pool)
                 progress = await self._store.read_part(PROGRESS, self._pool)
+                statuses = await self._store.read_part(STATUSES, self._pool)
             except StoreUnavailable as error:
                 self._log.write(LogEvent.LOAD_FAILED, error=str(error))
                 await asyncio.sleep(RETRY_S)
                 continue
+            for row in statuses.rows:
+                self._take_status(row)
             rows = {row.key.key: row for row in progress.rows}
             for row in requests.rows:
                 self._take_request(row, rows)
@@ -224,6 +230,13 @@
             )
             return requests.version
 
+    def _take_status(self, row: StoredRow) -> None:
+        """Take in which status callers see, or how many jobs wait."""
+        self._committer.versions[row.key] = row.version
+        if row.value is None or row.key.key.startswith(QUEUE_PREFIX):
+            return
+        self._runs.jobs.note_published(row.key.key, decode_status(row.value))
+
     async def _follow(
         self,
         table: str,
--- a/hickorywing/statuscache.py
+++ b/hickorywing/statuscache.py
@@ -9,10 +9,10 @@
 from hickorywing.decisions import DecisionLog
 from hickorywing.jobrows import decode_status
 from hickorywing.jobrows import job_key
-from hickorywing.jobrows import PROGRESS
-from hickorywing.jobrows import progress_key
 from hickorywing.jobrows import queue_key
 from hickorywing.jobrows import QUEUE_PREFIX
+from hickorywing.jobrows import status_key
+from hickorywing.jobrows import STATUSES
 from hickorywing.logevents import LogEvent
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.rows import HistoryLost
@@ -54,15 +54,15 @@
         self._known: OrderedDict[RowKey, None] = OrderedDict()
 
     async def run(self) -> None:
-        """Follow the jobs' progress until cancelled."""
+        """Follow the jobs' statuses until cancelled."""
         version = 0
         while True:
             try:
                 if self.feed is None:
                     version = await self._begin()
-                page = await self._store.follow(PROGRESS, version, FEED_WAIT_S)
+                page = await self._store.follow(STATUSES, version, FEED_WAIT_S)
             except HistoryLost:
-                self._log.write(LogEvent.FEED_LOST_ITS_HISTORY, table=PROGRESS)
+                self._log.write(LogEvent.FEED_LOST_ITS_HISTORY, table=STATUSES)
                 self._forget()
                 continue
             except StoreUnavailable:
@@ -75,7 +75,7 @@
     async def _begin(self) -> int:
         """Begin to follow; return the version from which on."""
         # Any row's answer carries the newest version of the store.
-        read = await self._store.read_part(PROGRESS, "", "~", "~\0")
+        read = await self._store.read_part(STATUSES, "", "~", "~\0")
         self._forget()
         self.feed = Feed(read.version)
         return read.version
@@ -106,7 +106,7 @@
         brings whatever becomes of it.
         """
         self._note_known(pool, job_id)
-        key = progress_key(pool, job_id)
+        key = status_key(pool, job_id)
         if feed is not None and feed is self.feed:
             self._statuses.setdefault(key, JobStatus.PENDING)
 
@@ -118,7 +118,7 @@
     async def exists(self, pool: str, job_id: str) -> bool:
         """Tell whether a job was accepted; raise ``StoreUnavailable``."""
         key = job_key(pool, job_id)
-        if key in self._known or progress_key(pool, job_id) in self._statuses:
+        if key in self._known or status_key(pool, job_id) in self._statuses:
             return True
         if await self._store.read_row(key) is None:
             return False
@@ -130,7 +130,7 @@
 
         Raises ``StoreUnavailable`` when that can't be known now.
         """
-        key = progress_key(pool, job_id)
+        key = status_key(pool, job_id)
         if key in self._statuses:
             return self._statuses[key]
         feed = self.feed
--- a/tests/test_jobdesk.py
+++ b/tests/test_jobdesk.py
@@ -10,9 +10,9 @@
 from hickorywing.decisions import DecisionLog
 from hickorywing.jobdesk import JobDesk
 from hickorywing.jobdesk import Outcome
-from hickorywing.jobrows import encode_progress
+from hickorywing.jobrows import encode_status
 from hickorywing.jobrows import job_key
-from hickorywing.jobrows import progress_key
+from hickorywing.jobrows import status_key
 from hickorywing.metrics import Metrics
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
@@ -119,7 +119,7 @@
     def end_job(self, store: MemoryRowStore) -> None:
         state = JobState(make_job(), 1, 0.0)
         state.status = JobStatus.COMPLETED
-        store.put(progress_key("p", "j1"), encode_progress(state, now_s()))
+        store.put(status_key("p", "j1"), encode_status(state.status))
 
     async def ask(self, desk: JobDesk) -> JobStatus:
         return (await desk.find_status("p", "j1")).status
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -317,7 +317,7 @@
         store.down = False
         await asyncio.sleep(0.5)
         task.cancel()
-        assert kept.find(LogEvent.FEED_LOST_ITS_HISTORY)["table"] == "progress"
+        assert kept.find(LogEvent.FEED_LOST_ITS_HISTORY)["table"] == "statuses"
 
 
 class TestCatalogue:
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -11,12 +11,14 @@
 from hickorywing.committer import Committer
 from hickorywing.decisions import DecisionLog
 from hickorywing.jobrows import cancel_key
+from hickorywing.jobrows import decode_status
 from hickorywing.jobrows import encode_job
 from hickorywing.jobrows import encode_progress
 from hickorywing.jobrows import epoch_key
 from hickorywing.jobrows import job_key
 from hickorywing.jobrows import progress_key
 from hickorywing.jobrows import restore_progress
+from hickorywing.jobrows import status_key
 from hickorywing.metrics import Metrics
 from hickorywing.orders import EndedRun
 from hickorywing.orders import OrderAnswer
@@ -28,6 +30,7 @@
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.poollease import PoolLease
+from hickorywing.rows import RowKey
 from hickorywing.runcontrol import ControllerTerms
 from hickorywing.runcontrol import RunControl
 from hickorywing.standins.rowstore import MemoryRowStore
@@ -293,6 +296,74 @@
             )
 
 
+class TestStatusRows:
+    """Every entry follows the statuses, so they change only with a status.
+
+    The load: hundreds of runs are placed, saved and ended in a second, and 35
+    entries are told of each change of the table.
+    """
+
+    def count_writes(self, control: Control) -> list[RowKey]:
+        """Return the keys of all rows that are written from now on."""
+        written: list[RowKey] = []
+        commit = control.store.commit
+
+        async def note(transaction):
+            written.extend(write.key for write in transaction.writes)
+            return await commit(transaction)
+
+        control.store.commit = note
+        return written
+
+    async def test_runs_and_saves_write_no_status(self):
+        async with Control() as control:
+            written = self.count_writes(control)
+            state = JobState(make_job("j1", (Step(count=9),)), 1, 0.0)
+            control.runs.jobs.add(state, restored=False)
+            for number, unit in enumerate(state.units.values()):
+                control.runs.jobs.place(unit, [f"vm{number}/i@1"])
+                state.update_status()
+                control.runs.jobs.store(state)
+                await asyncio.sleep(0.01)
+            for item in control.runs.jobs.members:
+                control.runs.jobs.note_save(item, "saved")
+                control.runs.jobs.store_saves()
+                await asyncio.sleep(0.01)
+            progress, status = progress_key("p", "j1"), status_key("p", "j1")
+            assert written.count(progress) > 9
+            assert written.count(status) == 1
+            row = control.store.rows[status]
+            assert decode_status(row.value) is JobStatus.ACTIVE
+
+    async def test_status_is_written_with_the_progress_that_it_follows(self):
+        async with Control() as control:
+            control.store.down = True
+            for number in range(60):
+                control.accept(f"j{number:02}")
+                control.runs.jobs.cancel(f"j{number:02}")
+            control.store.down = False
+            await control.wait(lambda: control.committer.stuck_s() == 0)
+            last = progress_key("p", "j59")
+            await control.wait(lambda: last in control.store.rows)
+            for number in range(60):
+                job_id = f"j{number:02}"
+                progress = control.store.rows[progress_key("p", job_id)]
+                status = control.store.rows[status_key("p", job_id)]
+                assert progress.version == status.version
+
+    async def test_successor_writes_a_status_that_is_behind(self):
+        async with Control() as control:
+            job = make_job("j1")
+            state = JobState(job, 1, 0.0)
+            state.status = JobStatus.COMPLETED
+            control.runs.jobs.note_published("j1", JobStatus.ACTIVE)
+            control.runs.jobs.add(state, restored=True)
+            key = status_key("p", "j1")
+            await control.wait(lambda: key in control.store.rows)
+            row = control.store.rows[key]
+            assert decode_status(row.value) is JobStatus.COMPLETED
+
+
 class TestProgress:
     """A successor finds in the row all that a start depends on."""
 
