Leave rows alone that can't be read, and start nothing without a lease

Looked for what operators of similar systems have seen. - One row of agents, statuses or progress that holds something else ended the entry that read it, and each successor after it, again and again; a lease row ended all candidates. Each is now logged with its table, key and version, and left alone. A job of unknown progress is not started, as that might run its work again; its status is not told. - An error while a report was taken in ended the watch of that worker for the rest of the term without a line. It is logged and the watch goes on. - A controller that had been paused longer than its lease gave the starts that it had stored before. Workers that its successor had met refused them; one that the successor could not reach would not. Starts now wait until a lease can be granted. - Ruled out: stops and commits of such a controller, which carry the epoch.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -115,17 +115,24 @@
         Nothing is granted to a silent agent, since a call without an answer
         may have granted its lease all the same.
         """
-        clock_ms = self.clock_ms()
+        if not self.can_grant():
+            return 0
         now = now_s()
         lease_s = self._lease_s()
         since_s = min(now, self._terms.alone_until_s())
-        left_s = since_s + lease_s - now
-        if self.silent or not clock_ms or left_s <= 0:
-            return 0
         self.lease_end_s = max(
             self.lease_end_s, since_s + self._longest(lease_s)
         )
-        return clock_ms + int(left_s * 1000)
+        return self.clock_ms() + int((since_s + lease_s - now) * 1000)
+
+    def can_grant(self) -> bool:
+        """Tell whether a lease can be granted now.
+
+        It can't once a successor may have waited for the last one, as after a
+        pause of this process.
+        """
+        left_s = self._terms.alone_until_s() + self._lease_s() - now_s()
+        return not self.silent and bool(self.clock_ms()) and left_s > 0
 
     def _lease_s(self) -> float:
         """Return a short lease until the worker has answered with work."""
--- a/hickorywing/committer.py
+++ b/hickorywing/committer.py
@@ -12,12 +12,11 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-import msgspec
-
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
 from hickorywing.jobrows import epoch_key
 from hickorywing.logevents import LogEvent
+from hickorywing.poollease import decode_epoch
 from hickorywing.poollease import PoolLease
 from hickorywing.rows import commit_checked
 from hickorywing.rows import Committed
@@ -188,9 +187,7 @@
     def _still_ours(self, mismatch: Mismatch) -> bool:
         """Tell whether the epoch is still this controller's."""
         row = mismatch.find(epoch_key(self._lease.pool))
-        epoch = 0
-        if row is not None and row.value is not None:
-            epoch = msgspec.msgpack.decode(row.value, type=int)
+        epoch = decode_epoch(row)
         if epoch != self._lease.epoch:
             self._lease.surrender(f"the store has epoch {epoch}")
             return False
--- a/hickorywing/handover.py
+++ b/hickorywing/handover.py
@@ -110,11 +110,21 @@
         except StoreUnavailable as error:
             self._log.write(LogEvent.PEERS_NOT_READ, error=str(error))
             return
-        self.addresses = {
-            row.key.key: row.value.decode()
-            for row in read.rows
-            if row.value and row.key.key != self._name
-        }
+        addresses: dict[str, str] = {}
+        for row in read.rows:
+            if not row.value or row.key.key == self._name:
+                continue
+            try:
+                addresses[row.key.key] = row.value.decode()
+            except UnicodeDecodeError as error:
+                self._log.write(
+                    LogEvent.ROW_UNREADABLE,
+                    table=ENTRIES,
+                    key=row.key.key,
+                    version=row.version,
+                    error=str(error),
+                )
+        self.addresses = addresses
 
 
 async def offer_role(
--- a/hickorywing/jobrows.py
+++ b/hickorywing/jobrows.py
@@ -21,9 +21,12 @@
 ==========  ==================  ============================  ==============
 """
 
+from typing import TypeVar
+
 import msgspec
 
 from hickorywing.clock import now_s
+from hickorywing.errors import HickorywingError
 from hickorywing.policy.poolmodel import PoolJob
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
@@ -42,6 +45,7 @@
     "STATUSES",
     "AgentRow",
     "LeaseRow",
+    "RowUnreadable",
     "cancel_key",
     "decode_job",
     "decode_status",
@@ -69,6 +73,12 @@
 CANCEL_PREFIX = "cancel/"
 QUEUE_PREFIX = "~"
 
+RowT = TypeVar("RowT")
+
+
+class RowUnreadable(HickorywingError):  # noqa: N818
+    """Reports a row that does not hold what its table should."""
+
 
 class AgentRow(msgspec.Struct, array_like=True):
     """How an agent is reached, and whose workers are beside it."""
@@ -169,8 +179,8 @@
 
 
 def decode_job(value: bytes) -> PoolJob:
-    """Return the job in a row; raise ``msgspec.DecodeError``."""
-    return msgspec.msgpack.decode(value, type=PoolJob)
+    """Return the job in a row; raise ``RowUnreadable``."""
+    return decode_row(value, PoolJob)
 
 
 def encode_progress(state: JobState, store_clock_s: float) -> bytes:
@@ -209,9 +219,17 @@
     return msgspec.msgpack.encode(status)
 
 
+def decode_row(value: bytes, row_type: type[RowT]) -> RowT:
+    """Return what a row's value holds; raise ``RowUnreadable``."""
+    try:
+        return msgspec.msgpack.decode(value, type=row_type)
+    except msgspec.DecodeError as error:
+        raise RowUnreadable(str(error)) from error
+
+
 def decode_status(value: bytes) -> JobStatus:
-    """Return the status in a status row."""
-    return msgspec.msgpack.decode(value, type=JobStatus)
+    """Return the status in a status row; raise ``RowUnreadable``."""
+    return decode_row(value, JobStatus)
 
 
 def restore_progress(
@@ -219,16 +237,20 @@
 ) -> None:
     """Set a job's state to what its progress row holds.
 
-    ``store_clock_s`` is the store's clock now.
+    ``store_clock_s`` is the store's clock now. Raises ``RowUnreadable``, with
+    the state as it was or in part set.
     """
-    row = msgspec.msgpack.decode(value, type=ProgressRow)
+    row = decode_row(value, ProgressRow)
     state.status = row.status
     state.finished = set(row.finished)
     for item in row.units:
         key = (item.occurrence, item.step, item.first)
         if key not in state.units:
             state.open_occurrence(item.occurrence, now_s())
-        restore_unit(state.units[key], item, store_clock_s)
+        try:
+            restore_unit(state.units[key], item, store_clock_s)
+        except (KeyError, ValueError) as error:
+            raise RowUnreadable(f"unit {key}: {error!r}") from error
 
 
 def restore_unit(unit: Unit, row: UnitRow, store_clock_s: float) -> None:
--- a/hickorywing/logevents.py
+++ b/hickorywing/logevents.py
@@ -38,6 +38,7 @@
     STORE_LOST = "store lost"
     STORE_REGAINED = "store regained"
     STORE_UNAVAILABLE = "store unavailable"
+    ROW_UNREADABLE = "row unreadable"
     FEED_LOST_ITS_HISTORY = "feed lost its history"
     COMMIT_FAILED = "commit failed"
 
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -12,6 +12,7 @@
 from dataclasses import asdict
 from dataclasses import dataclass
 import time
+import traceback
 
 import msgspec
 
@@ -27,12 +28,14 @@
 from hickorywing.jobrows import AgentRow
 from hickorywing.jobrows import AGENTS
 from hickorywing.jobrows import decode_job
+from hickorywing.jobrows import decode_row
 from hickorywing.jobrows import decode_status
 from hickorywing.jobrows import PROGRESS
 from hickorywing.jobrows import queue_key
 from hickorywing.jobrows import QUEUE_PREFIX
 from hickorywing.jobrows import REQUESTS
 from hickorywing.jobrows import restore_progress
+from hickorywing.jobrows import RowUnreadable
 from hickorywing.jobrows import split_request_key
 from hickorywing.jobrows import STATUSES
 from hickorywing.logevents import LogEvent
@@ -235,7 +238,22 @@
         self._committer.versions[row.key] = row.version
         if row.value is None or row.key.key.startswith(QUEUE_PREFIX):
             return
-        self._runs.jobs.note_published(row.key.key, decode_status(row.value))
+        try:
+            status = decode_status(row.value)
+        except RowUnreadable as error:
+            # The status is written anew from the progress row.
+            self._log_unreadable(row, error)
+            return
+        self._runs.jobs.note_published(row.key.key, status)
+
+    def _log_unreadable(self, row: StoredRow, error: RowUnreadable) -> None:
+        self._log.write(
+            LogEvent.ROW_UNREADABLE,
+            table=row.key.table,
+            key=row.key.key,
+            version=row.version,
+            error=str(error),
+        )
 
     async def _follow(
         self,
@@ -278,7 +296,11 @@
         row: StoredRow,
         progress: dict[str, StoredRow] | None = None,
     ) -> None:
-        """Take in an accepted or cancelled job."""
+        """Take in an accepted or cancelled job.
+
+        A job of which a row can't be read is left alone, as starting it might
+        run its work again.
+        """
         if row.value is None:
             return
         job_id, is_job = split_request_key(row.key.key)
@@ -289,7 +311,7 @@
             return
         try:
             job = decode_job(row.value)
-        except msgspec.DecodeError as error:
+        except RowUnreadable as error:
             self._log.write(
                 LogEvent.JOB_UNREADABLE, job=job_id, error=str(error)
             )
@@ -297,7 +319,11 @@
         state = JobState(job, row.version, now_s())
         stored = None if progress is None else progress.get(job_id)
         if stored is not None and stored.value is not None:
-            restore_progress(state, stored.value, self._store.clock_s())
+            try:
+                restore_progress(state, stored.value, self._store.clock_s())
+            except RowUnreadable as error:
+                self._log_unreadable(stored, error)
+                return
         self._runs.jobs.add(state, restored=progress is not None)
 
     async def _follow_agents(self) -> None:
@@ -320,7 +346,11 @@
         present = self._links.get(name)
         if row.value is None:
             return
-        agent = msgspec.msgpack.decode(row.value, type=AgentRow)
+        try:
+            agent = decode_row(row.value, AgentRow)
+        except RowUnreadable as error:
+            self._log_unreadable(row, error)
+            return
         if present is not None:
             if present[0].address == agent.address:
                 return
@@ -331,11 +361,22 @@
             self._http,
             self._runs.reports.take,
         )
-        self._links[name] = (link, asyncio.ensure_future(link.run()))
+        self._links[name] = (link, asyncio.ensure_future(self._watch(link)))
         self._log.write(
             LogEvent.AGENT_FOUND, agent=name, address=agent.address
         )
 
+    async def _watch(self, link: AgentLink) -> None:
+        """Watch an agent's worker; an error must not lose the worker."""
+        while True:
+            try:
+                await link.run()
+            except Exception:
+                self._log.write(
+                    LogEvent.PART_DIED, trace=traceback.format_exc()
+                )
+                await asyncio.sleep(RETRY_S)
+
     async def _tick(self) -> None:
         """Do what depends on time alone."""
         counted_s = 0.0
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -16,10 +16,12 @@
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import decode_row
 from hickorywing.jobrows import epoch_key
 from hickorywing.jobrows import lease_key
 from hickorywing.jobrows import LeaseRow
 from hickorywing.jobrows import LEASES
+from hickorywing.jobrows import RowUnreadable
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.rows import CHECK_AFTER_S
@@ -37,7 +39,13 @@
 from hickorywing.rows import StoreUnavailable
 from hickorywing.rows import Unknown
 
-__all__ = ["LEASE_S", "OfferOutcome", "PoolLease", "read_holder_epoch"]
+__all__ = [
+    "LEASE_S",
+    "OfferOutcome",
+    "PoolLease",
+    "decode_epoch",
+    "read_holder_epoch",
+]
 
 # A holder that dies leaves its pool without decisions for one lease, so the
 # lease is short; one renewal that times out after a probe fits into it.
@@ -49,6 +57,7 @@
 WATCH_S = 0.5
 # Longer than a read of a slow store; the offer's own limit is just above.
 READ_TIMEOUT_S = 0.4
+UNKNOWN_HOLDER = "?"
 
 
 @dataclass(frozen=True, slots=True)
@@ -279,7 +288,7 @@
             epoch_row = await self._store.read_row(epoch_key(self.pool))
         except StoreUnavailable:
             return False
-        epoch = lease.epoch + 1
+        epoch = max(lease.epoch, decode_epoch(epoch_row)) + 1
         sent_s = now_s()
         wanted = LeaseRow(self.name, epoch, 0)
         answer = await self._store.commit(
@@ -418,7 +427,24 @@
 
 
 def decode_lease(row: StoredRow | None) -> LeaseRow:
-    """Return the lease in a row; a missing row is a released lease."""
+    """Return the lease in a row; a missing row is a released lease.
+
+    A row that can't be read counts as one of an unknown holder, so that it is
+    watched for a whole lease before anybody takes over.
+    """
     if row is None or row.value is None:
         return LeaseRow("", 0, 0)
-    return msgspec.msgpack.decode(row.value, type=LeaseRow)
+    try:
+        return decode_row(row.value, LeaseRow)
+    except RowUnreadable:
+        return LeaseRow(UNKNOWN_HOLDER, 0, 0)
+
+
+def decode_epoch(row: StoredRow | None) -> int:
+    """Return the epoch in a row, 0 if there is none that can be read."""
+    if row is None or row.value is None:
+        return 0
+    try:
+        return decode_row(row.value, int)
+    except RowUnreadable:
+        return 0
--- a/hickorywing/runorders.py
+++ b/hickorywing/runorders.py
@@ -123,7 +123,7 @@
 
     def _give_start(self, item: OpenMember, link: AgentLink) -> None:
         key = ("start", item.task, item.unit.run)
-        if key not in self._under_way and link.clock_ms():
+        if key not in self._under_way and link.can_grant():
             self._spawn(key, self._start(item, link))
 
     def _give_stop(self, item: OpenMember, link: AgentLink) -> None:
--- a/hickorywing/statuscache.py
+++ b/hickorywing/statuscache.py
@@ -4,13 +4,13 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-import msgspec
-
 from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import decode_row
 from hickorywing.jobrows import decode_status
 from hickorywing.jobrows import job_key
 from hickorywing.jobrows import queue_key
 from hickorywing.jobrows import QUEUE_PREFIX
+from hickorywing.jobrows import RowUnreadable
 from hickorywing.jobrows import status_key
 from hickorywing.jobrows import STATUSES
 from hickorywing.logevents import LogEvent
@@ -89,10 +89,19 @@
     def _take(self, row: StoredRow) -> None:
         if row.value is None:
             return
-        if row.key.key.startswith(QUEUE_PREFIX):
-            self._counts[row.key] = msgspec.msgpack.decode(row.value, type=int)
-            return
-        self._set_status(row.key, decode_status(row.value))
+        try:
+            if row.key.key.startswith(QUEUE_PREFIX):
+                self._counts[row.key] = decode_row(row.value, int)
+            else:
+                self._set_status(row.key, decode_status(row.value))
+        except RowUnreadable as error:
+            self._log.write(
+                LogEvent.ROW_UNREADABLE,
+                table=row.key.table,
+                key=row.key.key,
+                version=row.version,
+                error=str(error),
+            )
 
     def _set_status(self, key: RowKey, status: JobStatus) -> None:
         self._statuses[key] = status
@@ -139,7 +148,7 @@
         )
         status = JobStatus.PENDING
         if read.rows and read.rows[0].value is not None:
-            status = decode_status(read.rows[0].value)
+            status = read_status(read.rows[0])
         elif not await self.exists(pool, job_id):
             return None
         if feed is not None and feed is self.feed:
@@ -157,8 +166,24 @@
             row = await self._store.read_row(key)
             count = 0
             if row is not None and row.value is not None:
-                count = msgspec.msgpack.decode(row.value, type=int)
+                count = read_count(row)
             if feed is None or feed is not self.feed:
                 return count
             self._counts.setdefault(key, count)
         return self._counts[key]
+
+
+def read_status(row: StoredRow) -> JobStatus:
+    """Return the status in a row; raise ``StoreUnavailable``."""
+    try:
+        return decode_status(row.value)
+    except RowUnreadable as error:
+        raise StoreUnavailable(f"unreadable status: {error}") from error
+
+
+def read_count(row: StoredRow) -> int:
+    """Return the count in a row; raise ``StoreUnavailable``."""
+    try:
+        return decode_row(row.value, int)
+    except RowUnreadable as error:
+        raise StoreUnavailable(f"unreadable count: {error}") from error
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -45,7 +45,9 @@
         self.report: WorkerReport | None = None
         self.noted = 0
         self.lease_end_s = float("inf")
+        self.starts: list[tuple[str, str, int]] = []
         self.stops: list[tuple[str, str, int]] = []
+        self.grants = True
         self.now_ms = 0
 
     def note(self, number: int) -> None:
@@ -57,9 +59,16 @@
     def clock_ms(self) -> int:
         return self.now_ms
 
+    def can_grant(self) -> bool:
+        return self.grants and self.now_ms > 0
+
     def is_lapsed(self) -> bool:
         return False
 
+    async def start(self, worker: str, task: str, run: int, *_) -> OrderAnswer:
+        self.starts.append((worker, task, run))
+        return OrderAnswer(OrderOutcome.OK, self.now_ms)
+
     async def stop(self, worker: str, task: str, run: int) -> OrderAnswer:
         self.stops.append((worker, task, run))
         return OrderAnswer(OrderOutcome.OK, self.now_ms)
@@ -296,6 +305,32 @@
             )
 
 
+class TestPausedController:
+    """A controller that was paused gives no start without a lease.
+
+    The load: the holder is frozen between a placement and its orders, for
+    longer than its successor waits.
+    """
+
+    async def test_start_waits_for_a_lease(self):
+        async with Control() as control:
+            link = FakeLink("vm/i@1")
+            link.now_ms = 100
+            link.grants = False
+            control.runs.reports.take(link, WorkerReport(worker=link.worker))
+            state = control.accept("j1")
+            unit = state.units[(0, 0, 0)]
+            control.runs.jobs.place(unit, [link.worker])
+            unit.committed = True
+            control.runs.wake()
+            await asyncio.sleep(0.05)
+            assert link.starts == []
+            link.grants = True
+            control.runs.wake()
+            await control.wait(lambda: link.starts)
+            assert link.starts == [("vm/i@1", "j1.0.0.0", 1)]
+
+
 class TestStatusRows:
     """Every entry follows the statuses, so they change only with a status.
 
--- /dev/null
+++ b/tests/test_unreadable.py
@@ -0,0 +1,148 @@
+"""Rows that hold something else take neither a process nor a pool down.
+
+Every candidate reads the same rows, so what ends one would end all of them,
+again and again.
+"""
+
+import asyncio
+
+from poolhelpers import KeptLines
+from poolhelpers import make_job
+import pytest
+
+from hickorywing.decisions import DecisionLog
+from hickorywing.handover import PeerBook
+from hickorywing.httpclient import HttpClient
+from hickorywing.jobrows import AGENTS
+from hickorywing.jobrows import encode_job
+from hickorywing.jobrows import encode_status
+from hickorywing.jobrows import ENTRIES
+from hickorywing.jobrows import entry_key
+from hickorywing.jobrows import job_key
+from hickorywing.jobrows import lease_key
+from hickorywing.jobrows import progress_key
+from hickorywing.jobrows import queue_key
+from hickorywing.jobrows import status_key
+from hickorywing.logevents import LogEvent
+from hickorywing.metrics import Metrics
+from hickorywing.policy.poolruns import JobStatus
+from hickorywing.poolconfig import ConfigurationView
+from hickorywing.poolcontroller import ControllerParts
+from hickorywing.poolcontroller import PoolController
+from hickorywing.rows import RowKey
+from hickorywing.rows import StoreUnavailable
+from hickorywing.runcontrol import ControllerTerms
+from hickorywing.standins.rowstore import MemoryRowStore
+from hickorywing.statuscache import StatusCache
+
+# No MessagePack of a known type, no UTF-8.
+JUNK = b"\xc1\xff\x00"
+
+
+class Entry:
+    """A candidate and a status cache over a store in memory."""
+
+    async def __aenter__(self) -> "Entry":
+        self.store = MemoryRowStore()
+        self.kept = KeptLines()
+        self.http = HttpClient()
+        metrics = Metrics("e0")
+        log = DecisionLog("e0", "entry", metrics, self.kept)
+        self.cache = StatusCache(self.store, log)
+        parts = ControllerParts(
+            "e0",
+            self.store,
+            self.http,
+            ConfigurationView(),
+            ControllerTerms(10.0, 5.0, 0.0),
+            log,
+            metrics,
+            PeerBook("e0", "127.0.0.1:1", self.store, log),
+        )
+        self.peers = parts.peers
+        self.controller = PoolController("p", parts)
+        self.tasks: list[asyncio.Task] = []
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.http.close()
+
+    def begin(self) -> None:
+        self.tasks = [
+            asyncio.ensure_future(self.controller.run()),
+            asyncio.ensure_future(self.cache.run()),
+        ]
+
+    def unreadable(self) -> set[str]:
+        """Return the tables of which a row was said to be unreadable."""
+        return {
+            line["table"]
+            for line in self.kept.lines
+            if line["event"] == LogEvent.ROW_UNREADABLE
+        }
+
+    async def wait(self, check) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + 5
+        while not check():
+            for task in self.tasks:
+                if task.done():
+                    task.result()
+            assert loop.time() < deadline
+            await asyncio.sleep(0.02)
+
+
+class TestUnreadableRows:
+    """Each table of a pool, before a term and during one."""
+
+    def spoil(self, store: MemoryRowStore) -> None:
+        store.put(job_key("p", "j1"), JUNK)
+        store.put(job_key("p", "j2"), encode_job(make_job("j2")))
+        store.put(progress_key("p", "j2"), JUNK)
+        store.put(status_key("p", "j2"), JUNK)
+        store.put(queue_key("p", "q"), JUNK)
+        store.put(RowKey(AGENTS, "p", "vm1"), JUNK)
+        store.put(entry_key("e9"), JUNK)
+
+    async def test_before_a_term(self):
+        async with Entry() as entry:
+            self.spoil(entry.store)
+            entry.begin()
+            await entry.wait(entry.controller.lease.holds)
+            await entry.wait(
+                lambda: {AGENTS, ENTRIES, "progress"} <= entry.unreadable()
+            )
+
+    async def test_during_a_term(self):
+        async with Entry() as entry:
+            entry.begin()
+            await entry.wait(entry.controller.lease.holds)
+            await entry.wait(lambda: entry.cache.feed is not None)
+            self.spoil(entry.store)
+            await entry.wait(
+                lambda: {AGENTS, "statuses"} <= entry.unreadable()
+            )
+            assert entry.controller.lease.holds()
+            store = entry.store
+            store.put(
+                status_key("p", "j3"), encode_status(JobStatus.COMPLETED)
+            )
+            await asyncio.sleep(0.05)
+            assert await entry.cache.find("p", "j3") is JobStatus.COMPLETED
+
+    async def test_a_job_of_unknown_progress_is_not_started(self):
+        async with Entry() as entry:
+            self.spoil(entry.store)
+            entry.begin()
+            await entry.wait(lambda: "progress" in entry.unreadable())
+            with pytest.raises(StoreUnavailable):
+                await entry.cache.find("p", "j2")
+
+    async def test_lease_row(self):
+        async with Entry() as entry:
+            entry.store.put(lease_key("p"), JUNK)
+            entry.begin()
+            await entry.wait(entry.controller.lease.holds)
