Give workers that were idle a lease before they count as lapsed

Cause: a tick between a placement and its first order found the last lease of a worker that had been idle for longer than a lease, and ended the new run as lapsed. Ruled out: two runs at a time, as the first order renews the lease before the check, in the same turn of the loop. Change: a member that no start was ordered for has lapsed only where no lease can be granted. The test fails on the code before.

--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -15,6 +15,7 @@
 from hickorywing.livejobs import LiveJobs
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
+from hickorywing.openmembers import OpenMember
 from hickorywing.policy.planpace import PlanPace
 from hickorywing.policy.poolhealth import WorkerHealth
 from hickorywing.policy.poolplanner import Assignment
@@ -163,12 +164,23 @@
         """End what ran on workers whose every lease has run out."""
         for item in self.jobs.members:
             link = self._workers.get(item.member.worker)
-            end_s = self._earlier_leases_end_s
-            if link is not None:
-                end_s = link.lease_end_s + LEASE_SLACK_S
-            if now > end_s or (link is not None and link.is_lapsed()):
+            if self._has_lapsed(item, link, now):
                 self.jobs.end_member(item, Ending.LAPSED)
 
+    def _has_lapsed(
+        self, item: OpenMember, link: AgentLink | None, now: float
+    ) -> bool:
+        """Tell whether every lease that a member could hold has run out.
+
+        The last lease of a worker that was idle has, but a member that is
+        about to be started there gets a new one with its first order.
+        """
+        if link is None:
+            return now > self._earlier_leases_end_s
+        if item.member.tries == 0 and link.can_grant():
+            return False
+        return now > link.lease_end_s + LEASE_SLACK_S or link.is_lapsed()
+
     def _may_place(self) -> bool:
         return (
             self._lease.holds()
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -305,6 +305,35 @@
             )
 
 
+class TestIdleWorker:
+    """A worker that was idle for longer than a lease gets work as any other.
+
+    The load: two steps of some hundred tasks come as traffic begins, and are
+    placed on workers that have had nothing to do since they were met.
+    """
+
+    async def place(self, control: Control, grants: bool) -> JobState:
+        link = FakeLink("vm/i@1")
+        link.now_ms = 100
+        link.grants = grants
+        link.lease_end_s = now_s() - 60.0
+        control.runs.reports.take(link, WorkerReport(worker=link.worker))
+        state = control.accept("j1")
+        control.runs.jobs.place(state.units[(0, 0, 0)], [link.worker])
+        control.runs.tick(0.0)
+        return state
+
+    async def test_its_last_lease_does_not_end_a_new_run(self):
+        async with Control() as control:
+            state = await self.place(control, grants=True)
+            assert state.units[(0, 0, 0)].running
+
+    async def test_a_run_that_can_not_be_started_is_given_up(self):
+        async with Control() as control:
+            state = await self.place(control, grants=False)
+            assert not state.units[(0, 0, 0)].running
+
+
 class TestPausedController:
     """A controller that was paused gives no start without a lease.
 
