--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -37,11 +37,14 @@
 # Room is kept for a unit that has waited this long and is so large that small
 # ones would go on taking what becomes free. A few reservations at a time are
 # made on any pool, and more only for a share of its accelerators, as what is
-# kept stands idle meanwhile.
+# kept stands idle meanwhile. None is made while less than half of the pool is
+# in use, as for a gang that takes most of it: the others would wait beside
+# idle workers.
 RESERVE_AFTER_S = 1.0
 RESERVE_ACCELERATORS = 4
 RESERVED_UNITS = 2
 RESERVED_SHARE = 0.25
+RESERVE_LEAST_USE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,14 +239,15 @@
 
     def _may_reserve(self, accelerators: int) -> bool:
         """Tell whether room may be kept for one more unit."""
+        workers = self._state.workers.values()
+        whole = sum((item.capacity for item in workers), Resources())
+        free = sum(self._state.free.values(), Resources())
+        if measure_use(whole, free) < RESERVE_LEAST_USE:
+            return False
         if self._reserved < RESERVED_UNITS:
             return True
-        whole = sum(
-            facts.capacity.accelerators
-            for facts in self._state.workers.values()
-        )
         wanted = self._reserved_accelerators + accelerators
-        return wanted <= RESERVED_SHARE * whole
+        return wanted <= RESERVED_SHARE * whole.accelerators
 
     def _find_holding_racks(self, step: Step) -> frozenset[str]:
         """Return the racks that could hold a unit of the step alone."""
@@ -349,6 +353,16 @@
         self._plan.stops.append((victim.unit, unit))
 
 
+def measure_use(whole: Resources, free: Resources) -> float:
+    """Return the share in use of what a pool has least of."""
+    shares = (
+        (whole.cores_milli, free.cores_milli),
+        (whole.memory_mb, free.memory_mb),
+        (whole.accelerators, free.accelerators),
+    )
+    return max(1 - left / there if there else 0.0 for there, left in shares)
+
+
 def index_victims(
     running: Iterable[RunningUnit],
 ) -> dict[str, list[RunningUnit]]:
--- a/tests/test_poolplanner.py
+++ b/tests/test_poolplanner.py
@@ -308,6 +308,17 @@
         pool.add(make_job("small", steps=(gpu_step(1),)))
         assert pool.run().starts == []
 
+    def test_no_room_is_kept_while_most_workers_are_idle(self):
+        pool = Pool(workers=8, rack_size=2)
+        pool.add(make_job("old", steps=(gpu_step(8, count=3),)))
+        pool.run()
+        wide = gpu_step(8, count=6, gang=True, one_rack=True)
+        pool.add(make_job("wide", steps=(wide,)))
+        pool.now_s += 2.0
+        pool.add(make_job("small", steps=(gpu_step(1),)))
+        starts = [start.unit.job_id for start in pool.run().starts]
+        assert starts == ["small"]
+
     def test_data_on_a_rack_that_is_gone_is_not_waited_for(self):
         pool = Pool(workers=2, rack_size=2)
         pool.add(make_job("new", steps=(gpu_step(8, data_rack="r9"),)))
