End all messages under way before the first form's sockets close

Six runs of the test alone, with a fault handler, passed. Cause, not seen in a core dump: at a stop each link's socket was closed and the loop ended while a send was still under way, which the messaging library completes on a thread of its own, into an interpreter that is going away. Ruled out: the product's own code, which has no native part. Change: a stopping process waits for the cancelled sends before it closes. The test of the order fails on the code before.

--- a/hickorywing/agent.py
+++ b/hickorywing/agent.py
@@ -327,7 +327,7 @@
         await self.leave()
         await cancel_tasks(tasks)
         await web.stop()
-        self.mailbox.close()
+        await self.mailbox.finish()
         await self.dispatches.close()
         if self.worker is not None:
             await self.worker.close()
--- a/hickorywing/entry.py
+++ b/hickorywing/entry.py
@@ -527,7 +527,7 @@
         await self.keyed.finish(SETTLE_PATIENCE_S)
         await cancel_tasks(tasks)
         await self.http.close()
-        self.mailbox.close()
+        await self.mailbox.finish()
         await self.table.close()
 
 
--- a/hickorywing/mailbox.py
+++ b/hickorywing/mailbox.py
@@ -48,6 +48,10 @@
     async def run(self, handler: Handler) -> None:
         """Hand every received message to the handler until cancelled."""
 
+    async def finish(self) -> None:
+        """Let all that is under way end, then close."""
+        self.close()
+
     @abstractmethod
     def close(self) -> None:
         """Close all links; what they have queued is lost."""
@@ -113,6 +117,16 @@
                 continue
             handler(decoded.unwrap())
 
+    async def finish(self) -> None:
+        """Let all that is under way end, then close.
+
+        The library completes operations on threads of its own, so none may be
+        left when a socket, and then the interpreter, goes away.
+        """
+        links = list(self._links.values())
+        await asyncio.gather(*(link.finish() for link in links))
+        self.close()
+
     def close(self) -> None:
         """Close the inbox and all links."""
         self._inbox.close()
@@ -168,6 +182,11 @@
                 await asyncio.sleep(RECONNECT_MIN_MS / 1000)
             raise_if_cancelled()
 
+    async def finish(self) -> None:
+        """Stop sending; return once no operation is under way."""
+        self._task.cancel()
+        await asyncio.wait([self._task])
+
     def close(self) -> None:
         """Close the link; what it has queued is lost."""
         self._task.cancel()
--- a/tests/test_mailbox.py
+++ b/tests/test_mailbox.py
@@ -17,6 +17,8 @@
 
     def __init__(self) -> None:
         self.begun = asyncio.Event()
+        self.under_way = 0
+        self.closed_with: int | None = None
 
     async def arecv(self) -> bytes:
         await self._complete()
@@ -26,14 +28,17 @@
         await self._complete()
 
     def close(self) -> None:
-        pass
+        self.closed_with = self.under_way
 
     async def _complete(self) -> None:
         self.begun.set()
+        self.under_way += 1
         try:
             await asyncio.Event().wait()
         except asyncio.CancelledError:
             return
+        finally:
+            self.under_way -= 1
 
 
 class TestStop:
@@ -62,3 +67,14 @@
         async with asyncio.timeout(2):
             await cancel_tasks([link._task])
         mailbox.close()
+
+    async def test_sockets_close_once_nothing_is_under_way(self):
+        mailbox = PynngMailbox("e1", free_address(), Metrics("e1"))
+        link = mailbox._open_link(free_address())
+        link._socket.close()
+        link._socket = socket = CompletedSocket()
+        link.put(b"frame")
+        await socket.begun.wait()
+        async with asyncio.timeout(2):
+            await mailbox.finish()
+        assert socket.closed_with == 0
