--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -64,7 +64,8 @@
 class OfferOutcome:
     """What came of offering the role to the other entries.
 
-    ``successor`` took it; ``newer_term`` is one that somebody knows of.
+    ``successor`` accepted it, perhaps beside others, of which one takes it;
+    ``newer_term`` is one that somebody knows of.
     ``vouched`` tells that no entry reaches the store or held a newer term, by
     the answers of all of them.
     """
