Split the searches and the budget of reservations out of the planner

What finds workers for one unit is in poolsearch now, what may be kept in ReservationBudget, worked out once a plan and not for each waiting unit; three copies of one log line are one function. No decision changes: the tests of the planner and the searches pass as they were, but for the place that they import from.

--- a/hickorywing/handover.py
+++ b/hickorywing/handover.py
@@ -22,6 +22,7 @@
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobrows import ENTRIES
 from hickorywing.jobrows import entry_key
+from hickorywing.jobrows import log_unreadable
 from hickorywing.logevents import LogEvent
 from hickorywing.poollease import OfferOutcome
 from hickorywing.poollease import PoolLease
@@ -117,13 +118,7 @@
             try:
                 addresses[row.key.key] = row.value.decode()
             except UnicodeDecodeError as error:
-                self._log.write(
-                    LogEvent.ROW_UNREADABLE,
-                    table=ENTRIES,
-                    key=row.key.key,
-                    version=row.version,
-                    error=str(error),
-                )
+                log_unreadable(self._log, row, error)
         self.addresses = addresses
 
 
--- a/hickorywing/jobrows.py
+++ b/hickorywing/jobrows.py
@@ -26,7 +26,9 @@
 import msgspec
 
 from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
 from hickorywing.errors import HickorywingError
+from hickorywing.logevents import LogEvent
 from hickorywing.policy.poolmodel import PoolJob
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
@@ -34,6 +36,7 @@
 from hickorywing.policy.poolruns import Member
 from hickorywing.policy.poolruns import Unit
 from hickorywing.rows import RowKey
+from hickorywing.rows import StoredRow
 
 __all__ = [
     "AGENTS",
@@ -56,6 +59,7 @@
     "epoch_key",
     "job_key",
     "lease_key",
+    "log_unreadable",
     "progress_key",
     "queue_key",
     "restore_progress",
@@ -227,6 +231,17 @@
         raise RowUnreadable(str(error)) from error
 
 
+def log_unreadable(log: DecisionLog, row: StoredRow, error: Exception) -> None:
+    """Log that a row is left alone as it can't be read."""
+    log.write(
+        LogEvent.ROW_UNREADABLE,
+        table=row.key.table,
+        key=row.key.key,
+        version=row.version,
+        error=str(error),
+    )
+
+
 def decode_status(value: bytes) -> JobStatus:
     """Return the status in a status row; raise ``RowUnreadable``."""
     return decode_row(value, JobStatus)
--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -8,7 +8,6 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -21,41 +20,22 @@
 from hickorywing.policy.poolpreemption import Sacrifice
 from hickorywing.policy.poolreservation import index_releases
 from hickorywing.policy.poolreservation import Reservation
+from hickorywing.policy.poolreservation import ReservationBudget
 from hickorywing.policy.poolreservation import reserve_workers
 from hickorywing.policy.poolroom import count_room
 from hickorywing.policy.poolruns import Unit
+from hickorywing.policy.poolsearch import DATA_WAIT_S
+from hickorywing.policy.poolsearch import find_allowed
+from hickorywing.policy.poolsearch import find_holding_racks
+from hickorywing.policy.poolsearch import group_workers
+from hickorywing.policy.poolsearch import place_unit
+from hickorywing.policy.poolsearch import WaitingUnit
 
-__all__ = ["Assignment", "Plan", "PlanInput", "Planner", "WaitingUnit"]
+__all__ = ["Assignment", "Plan", "PlanInput", "Planner"]
 
-# A job that runs away from its data takes several times as long, so it first
-# waits a moment for room beside it, below the 3 s after which an idle task
-# counts as forgotten.
-DATA_WAIT_S = 1.5
 # An urgent unit waits this long for running work that is about to end, before
 # it stops any. A stop takes up to 0.4 s itself.
 END_WAIT_S = 0.5
-# Room is kept for a unit that has waited this long and is so large that small
-# ones would go on taking what becomes free. A few reservations at a time are
-# made on any pool, and more only for a share of its accelerators, as what is
-# kept stands idle meanwhile. None is made while less than half of the pool is
-# in use, as for a gang that takes most of it: the others would wait beside
-# idle workers.
-RESERVE_AFTER_S = 1.0
-RESERVE_ACCELERATORS = 4
-RESERVED_UNITS = 2
-RESERVED_SHARE = 0.25
-RESERVE_LEAST_USE = 0.5
-
-
-@dataclass(frozen=True, slots=True)
-class WaitingUnit:
-    """A unit whose turn has come; ``avoid`` are workers not to be used."""
-
-    unit: Unit
-    step: Step
-    priority: int
-    order: tuple[float, ...]
-    avoid: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,8 +87,7 @@
         self._is_freeing = bool(state.coming)
         self._stopped: set[tuple] = set()
         self._plan = Plan()
-        self._reserved = 0
-        self._reserved_accelerators = 0
+        self._budget = ReservationBudget(state.workers, state.free)
         self._holding_racks: dict[Step, frozenset[str]] = {}
         # Tasks of a step ask for the same, and room only shrinks in a plan.
         self._unplaceable: set[tuple] = set()
@@ -211,11 +190,7 @@
         step, count = waiting.step, waiting.unit.count
         waited_s = self._state.now_s - waiting.unit.waiting_since_s
         size = count * step.resources.accelerators
-        if (
-            waited_s < RESERVE_AFTER_S
-            or size < RESERVE_ACCELERATORS
-            or not self._may_reserve(size)
-        ):
+        if not self._budget.allows(size, waited_s):
             return None
         best: Reservation | None = None
         for group in self._groups_for(waiting):
@@ -233,22 +208,9 @@
                 best = found
         if best is None:
             return None
-        self._reserved += 1
-        self._reserved_accelerators += size
+        self._budget.take(size)
         return best.workers
 
-    def _may_reserve(self, accelerators: int) -> bool:
-        """Tell whether room may be kept for one more unit."""
-        workers = self._state.workers.values()
-        whole = sum((item.capacity for item in workers), Resources())
-        free = sum(self._state.free.values(), Resources())
-        if measure_use(whole, free) < RESERVE_LEAST_USE:
-            return False
-        if self._reserved < RESERVED_UNITS:
-            return True
-        wanted = self._reserved_accelerators + accelerators
-        return wanted <= RESERVED_SHARE * whole.accelerators
-
     def _find_holding_racks(self, step: Step) -> frozenset[str]:
         """Return the racks that could hold a unit of the step alone."""
         if step not in self._holding_racks:
@@ -353,16 +315,6 @@
         self._plan.stops.append((victim.unit, unit))
 
 
-def measure_use(whole: Resources, free: Resources) -> float:
-    """Return the share in use of what a pool has least of."""
-    shares = (
-        (whole.cores_milli, free.cores_milli),
-        (whole.memory_mb, free.memory_mb),
-        (whole.accelerators, free.accelerators),
-    )
-    return max(1 - left / there if there else 0.0 for there, left in shares)
-
-
 def index_victims(
     running: Iterable[RunningUnit],
 ) -> dict[str, list[RunningUnit]]:
@@ -384,135 +336,3 @@
         counts = spread.setdefault(item.unit.step_key, Counter())
         counts.update(member.worker for member in item.unit.open_members())
     return spread
-
-
-def place_unit(
-    waiting: WaitingUnit,
-    rooms: dict[str, Resources],
-    workers: dict[str, WorkerFacts],
-    present: Mapping[str, int],
-    racks: frozenset[str],
-    now_s: float,
-) -> tuple[str, ...] | None:
-    """Return a worker for each task of the unit, or ``None``.
-
-    ``present`` counts the tasks of the same step that workers have already,
-    ``racks`` are those that could hold the unit alone. A unit is placed whole.
-    Tasks that should share a rack wait a moment for room in one that could
-    hold them, and are else placed over several.
-    """
-    step = waiting.step
-    allowed = find_allowed(step, rooms, workers)
-    count = waiting.unit.count
-    for group in group_workers(step, allowed, workers, racks):
-        placed = fill_workers(step, count, group, rooms, present)
-        if placed is not None:
-            return placed
-    waited_s = now_s - waiting.unit.waiting_since_s
-    if wishes_rack(step) and racks and waited_s < DATA_WAIT_S:
-        return None
-    return fill_workers(step, count, allowed, rooms, present)
-
-
-def find_allowed(
-    step: Step,
-    rooms: Mapping[str, object],
-    workers: Mapping[str, WorkerFacts],
-) -> list[str]:
-    """Return the workers that have the label a step requires."""
-    label = step.required_label
-    return [
-        worker
-        for worker in rooms
-        if not label or label in workers[worker].labels
-    ]
-
-
-def wishes_rack(step: Step) -> bool:
-    """Tell whether a step's tasks are slower in some racks than in others."""
-    return bool(step.data_rack) or step.one_rack
-
-
-def find_holding_racks(
-    step: Step, workers: Mapping[str, WorkerFacts]
-) -> frozenset[str]:
-    """Return the racks on which a unit of a step would fit if nothing ran.
-
-    Answers gangs that are wider than a rack, and data on a rack that is gone:
-    waiting for such a rack would be in vain.
-    """
-    if not wishes_rack(step):
-        return frozenset()
-    need = count_room(step)
-    count = step.count if step.gang else 1
-    slots: Counter[str] = Counter()
-    for worker in find_allowed(step, workers, workers):
-        facts = workers[worker]
-        if step.data_rack in ("", facts.rack):
-            slots[facts.rack] += count_slots(
-                need, facts.capacity, step.spread_limit or count
-            )
-    return frozenset(rack for rack in slots if slots[rack] >= count)
-
-
-def count_slots(need: Resources, room: Resources, most: int) -> int:
-    """Return how many equal tasks fit into a room, ``most`` at most."""
-    slots = most
-    for wanted, there in (
-        (need.cores_milli, room.cores_milli),
-        (need.memory_mb, room.memory_mb),
-        (need.accelerators, room.accelerators),
-    ):
-        if wanted > 0:
-            slots = min(slots, there // wanted)
-    return max(0, slots)
-
-
-def group_workers(
-    step: Step,
-    allowed: Iterable[str],
-    workers: Mapping[str, WorkerFacts],
-    racks: frozenset[str],
-) -> list[list[str]]:
-    """Return the groups of workers to try first, one for each rack."""
-    if not wishes_rack(step):
-        return []
-    groups: dict[str, list[str]] = {}
-    for worker in allowed:
-        rack = workers[worker].rack
-        if rack in racks:
-            groups.setdefault(rack, []).append(worker)
-    return [groups[rack] for rack in sorted(groups)]
-
-
-def fill_workers(
-    step: Step,
-    count: int,
-    allowed: list[str],
-    rooms: dict[str, Resources],
-    present: Mapping[str, int],
-) -> tuple[str, ...] | None:
-    """Place tasks one after another where they leave the least room.
-
-    The worker with the least room stays the one with the least until it is
-    full, so each worker is filled before the next is begun.
-    """
-    need = count_room(step)
-    placed: list[str] = []
-    ranked = sorted(
-        (rooms[worker].accelerators, rooms[worker].cores_milli, worker)
-        for worker in allowed
-        if need.fits_in(rooms[worker])
-    )
-    for _, _, worker in ranked:
-        room = rooms[worker]
-        used = present.get(worker, 0)
-        while need.fits_in(room) and not (
-            step.spread_limit and used >= step.spread_limit
-        ):
-            room = room - need
-            used += 1
-            placed.append(worker)
-            if len(placed) == count:
-                return tuple(placed)
-    return None
--- a/hickorywing/policy/poolreservation.py
+++ b/hickorywing/policy/poolreservation.py
@@ -8,21 +8,81 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 import heapq
 
 from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolmodel import Step
+from hickorywing.policy.poolmodel import WorkerFacts
 from hickorywing.policy.poolpreemption import held_on
 from hickorywing.policy.poolpreemption import RunningUnit
 from hickorywing.policy.poolroom import count_room
 
-__all__ = ["Release", "Reservation", "index_releases", "reserve_workers"]
-
+__all__ = [
+    "Release",
+    "Reservation",
+    "ReservationBudget",
+    "index_releases",
+    "reserve_workers",
+]
+
+# Room is kept for a unit that has waited this long and is so large that small
+# ones would go on taking what becomes free. A few reservations at a time are
+# made on any pool, and more only for a share of its accelerators, as what is
+# kept stands idle meanwhile. None is made while less than half of the pool is
+# in use, as for a gang that takes most of it: the others would wait beside
+# idle workers.
+RESERVE_AFTER_S = 1.0
+RESERVE_ACCELERATORS = 4
+RESERVED_UNITS = 2
+RESERVED_SHARE = 0.25
+RESERVE_LEAST_USE = 0.5
 # Counts for work of which nothing is known yet; of the order of a long task.
 UNKNOWN_LEFT_S = 30.0
 
 
+class ReservationBudget:
+    """What one plan may keep for units that wait."""
+
+    def __init__(
+        self,
+        workers: Mapping[str, WorkerFacts],
+        free: Mapping[str, Resources],
+    ) -> None:
+        whole = sum((item.capacity for item in workers.values()), Resources())
+        left = sum(free.values(), Resources())
+        self._is_busy = measure_use(whole, left) >= RESERVE_LEAST_USE
+        self._share = RESERVED_SHARE * whole.accelerators
+        self._units = 0
+        self._accelerators = 0
+
+    def allows(self, accelerators: int, waited_s: float) -> bool:
+        """Tell whether room may be kept for one more unit."""
+        if waited_s < RESERVE_AFTER_S or accelerators < RESERVE_ACCELERATORS:
+            return False
+        if not self._is_busy:
+            return False
+        if self._units < RESERVED_UNITS:
+            return True
+        return self._accelerators + accelerators <= self._share
+
+    def take(self, accelerators: int) -> None:
+        """Count a unit for which room is kept."""
+        self._units += 1
+        self._accelerators += accelerators
+
+
+def measure_use(whole: Resources, free: Resources) -> float:
+    """Return the share in use of what a pool has least of."""
+    shares = (
+        (whole.cores_milli, free.cores_milli),
+        (whole.memory_mb, free.memory_mb),
+        (whole.accelerators, free.accelerators),
+    )
+    return max(1 - left / there if there else 0.0 for there, left in shares)
+
+
 @dataclass(frozen=True, slots=True)
 class Release:
     """Room that a worker is expected to free after a time."""
--- /dev/null
+++ b/hickorywing/policy/poolsearch.py
@@ -0,0 +1,175 @@
+"""Find workers for one unit: by label, by rack, and the least room first.
+
+Answers full pools of hundreds of workers, where a plan looks for hundreds of
+units: a search costs what the workers with room cost, and what can't succeed
+is not waited for.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from hickorywing.policy.poolmodel import Resources
+from hickorywing.policy.poolmodel import Step
+from hickorywing.policy.poolmodel import WorkerFacts
+from hickorywing.policy.poolroom import count_room
+from hickorywing.policy.poolruns import Unit
+
+__all__ = [
+    "DATA_WAIT_S",
+    "WaitingUnit",
+    "fill_workers",
+    "find_allowed",
+    "find_holding_racks",
+    "group_workers",
+    "place_unit",
+]
+
+# A job that runs away from its data takes several times as long, so it first
+# waits a moment for room beside it, below the 3 s after which an idle task
+# counts as forgotten.
+DATA_WAIT_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingUnit:
+    """A unit whose turn has come; ``avoid`` are workers not to be used."""
+
+    unit: Unit
+    step: Step
+    priority: int
+    order: tuple[float, ...]
+    avoid: frozenset[str] = frozenset()
+
+
+def place_unit(
+    waiting: WaitingUnit,
+    rooms: dict[str, Resources],
+    workers: dict[str, WorkerFacts],
+    present: Mapping[str, int],
+    racks: frozenset[str],
+    now_s: float,
+) -> tuple[str, ...] | None:
+    """Return a worker for each task of the unit, or ``None``.
+
+    ``present`` counts the tasks of the same step that workers have already,
+    ``racks`` are those that could hold the unit alone. A unit is placed whole.
+    Tasks that should share a rack wait a moment for room in one that could
+    hold them, and are else placed over several.
+    """
+    step = waiting.step
+    allowed = find_allowed(step, rooms, workers)
+    count = waiting.unit.count
+    for group in group_workers(step, allowed, workers, racks):
+        placed = fill_workers(step, count, group, rooms, present)
+        if placed is not None:
+            return placed
+    waited_s = now_s - waiting.unit.waiting_since_s
+    if wishes_rack(step) and racks and waited_s < DATA_WAIT_S:
+        return None
+    return fill_workers(step, count, allowed, rooms, present)
+
+
+def find_allowed(
+    step: Step,
+    rooms: Mapping[str, object],
+    workers: Mapping[str, WorkerFacts],
+) -> list[str]:
+    """Return the workers that have the label a step requires."""
+    label = step.required_label
+    return [
+        worker
+        for worker in rooms
+        if not label or label in workers[worker].labels
+    ]
+
+
+def wishes_rack(step: Step) -> bool:
+    """Tell whether a step's tasks are slower in some racks than in others."""
+    return bool(step.data_rack) or step.one_rack
+
+
+def find_holding_racks(
+    step: Step, workers: Mapping[str, WorkerFacts]
+) -> frozenset[str]:
+    """Return the racks on which a unit of a step would fit if nothing ran.
+
+    Answers gangs that are wider than a rack, and data on a rack that is gone:
+    waiting for such a rack would be in vain.
+    """
+    if not wishes_rack(step):
+        return frozenset()
+    need = count_room(step)
+    count = step.count if step.gang else 1
+    slots: Counter[str] = Counter()
+    for worker in find_allowed(step, workers, workers):
+        facts = workers[worker]
+        if step.data_rack in ("", facts.rack):
+            slots[facts.rack] += count_slots(
+                need, facts.capacity, step.spread_limit or count
+            )
+    return frozenset(rack for rack in slots if slots[rack] >= count)
+
+
+def count_slots(need: Resources, room: Resources, most: int) -> int:
+    """Return how many equal tasks fit into a room, ``most`` at most."""
+    slots = most
+    for wanted, there in (
+        (need.cores_milli, room.cores_milli),
+        (need.memory_mb, room.memory_mb),
+        (need.accelerators, room.accelerators),
+    ):
+        if wanted > 0:
+            slots = min(slots, there // wanted)
+    return max(0, slots)
+
+
+def group_workers(
+    step: Step,
+    allowed: Iterable[str],
+    workers: Mapping[str, WorkerFacts],
+    racks: frozenset[str],
+) -> list[list[str]]:
+    """Return the groups of workers to try first, one for each rack."""
+    if not wishes_rack(step):
+        return []
+    groups: dict[str, list[str]] = {}
+    for worker in allowed:
+        rack = workers[worker].rack
+        if rack in racks:
+            groups.setdefault(rack, []).append(worker)
+    return [groups[rack] for rack in sorted(groups)]
+
+
+def fill_workers(
+    step: Step,
+    count: int,
+    allowed: list[str],
+    rooms: dict[str, Resources],
+    present: Mapping[str, int],
+) -> tuple[str, ...] | None:
+    """Place tasks one after another where they leave the least room.
+
+    The worker with the least room stays the one with the least until it is
+    full, so each worker is filled before the next is begun.
+    """
+    need = count_room(step)
+    placed: list[str] = []
+    ranked = sorted(
+        (rooms[worker].accelerators, rooms[worker].cores_milli, worker)
+        for worker in allowed
+        if need.fits_in(rooms[worker])
+    )
+    for _, _, worker in ranked:
+        room = rooms[worker]
+        used = present.get(worker, 0)
+        while need.fits_in(room) and not (
+            step.spread_limit and used >= step.spread_limit
+        ):
+            room = room - need
+            used += 1
+            placed.append(worker)
+            if len(placed) == count:
+                return tuple(placed)
+    return None
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -30,6 +30,7 @@
 from hickorywing.jobrows import decode_job
 from hickorywing.jobrows import decode_row
 from hickorywing.jobrows import decode_status
+from hickorywing.jobrows import log_unreadable
 from hickorywing.jobrows import PROGRESS
 from hickorywing.jobrows import queue_key
 from hickorywing.jobrows import QUEUE_PREFIX
@@ -242,19 +243,10 @@
             status = decode_status(row.value)
         except RowUnreadable as error:
             # The status is written anew from the progress row.
-            self._log_unreadable(row, error)
+            log_unreadable(self._log, row, error)
             return
         self._runs.jobs.note_published(row.key.key, status)
 
-    def _log_unreadable(self, row: StoredRow, error: RowUnreadable) -> None:
-        self._log.write(
-            LogEvent.ROW_UNREADABLE,
-            table=row.key.table,
-            key=row.key.key,
-            version=row.version,
-            error=str(error),
-        )
-
     async def _follow(
         self,
         table: str,
@@ -322,7 +314,7 @@
             try:
                 restore_progress(state, stored.value, self._store.clock_s())
             except RowUnreadable as error:
-                self._log_unreadable(stored, error)
+                log_unreadable(self._log, stored, error)
                 return
         self._runs.jobs.add(state, restored=progress is not None)
 
@@ -349,7 +341,7 @@
         try:
             agent = decode_row(row.value, AgentRow)
         except RowUnreadable as error:
-            self._log_unreadable(row, error)
+            log_unreadable(self._log, row, error)
             return
         if present is not None:
             if present[0].address == agent.address:
--- a/hickorywing/statuscache.py
+++ b/hickorywing/statuscache.py
@@ -8,6 +8,7 @@
 from hickorywing.jobrows import decode_row
 from hickorywing.jobrows import decode_status
 from hickorywing.jobrows import job_key
+from hickorywing.jobrows import log_unreadable
 from hickorywing.jobrows import queue_key
 from hickorywing.jobrows import QUEUE_PREFIX
 from hickorywing.jobrows import RowUnreadable
@@ -95,13 +96,7 @@
             else:
                 self._set_status(row.key, decode_status(row.value))
         except RowUnreadable as error:
-            self._log.write(
-                LogEvent.ROW_UNREADABLE,
-                table=row.key.table,
-                key=row.key.key,
-                version=row.version,
-                error=str(error),
-            )
+            log_unreadable(self._log, row, error)
 
     def _set_status(self, key: RowKey, status: JobStatus) -> None:
         self._statuses[key] = status
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -12,13 +12,13 @@
 from hickorywing.policy.poolplanner import Plan
 from hickorywing.policy.poolplanner import PlanInput
 from hickorywing.policy.poolplanner import Planner
-from hickorywing.policy.poolplanner import WaitingUnit
 from hickorywing.policy.poolpreemption import RunningUnit
 from hickorywing.policy.poolprogress import estimate_left_s
 from hickorywing.policy.poolprogress import estimate_lost_s
 from hickorywing.policy.poolprogress import ProgressTerms
 from hickorywing.policy.poolroom import measure_room
 from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolsearch import WaitingUnit
 
 
 class KeptLines:
--- a/tests/test_poolsearch.py
+++ b/tests/test_poolsearch.py
@@ -14,7 +14,6 @@
 
 from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolmodel import Step
-from hickorywing.policy.poolplanner import fill_workers
 from hickorywing.policy.poolplanner import index_victims
 from hickorywing.policy.poolpreemption import choose_victims
 from hickorywing.policy.poolpreemption import free_worker
@@ -25,6 +24,7 @@
 from hickorywing.policy.poolreservation import wait_for_room
 from hickorywing.policy.poolroom import count_room
 from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolsearch import fill_workers
 
 CASES = st.integers(min_value=0, max_value=2**32)
 
