Give orders while a plan has to wait

Cause: an event during the pause between two plans, as a cancelled job, had its stops wait for the next plan, up to 0.5 s. Found by reading the change. The test fails on the code before.

--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -75,7 +75,7 @@
         self._earlier_leases_end_s = (
             now_s() + terms.lease_limit_s + LEASE_SLACK_S
         )
-        self.acting = False
+        self.plan_due = False
         self._giving = False
         self._pace = PlanPace()
         self._saves_stored_s = 0.0
@@ -118,20 +118,18 @@
         self._orders.close()
 
     def wake(self) -> None:
-        """Plan and give orders soon, once for all that happens meanwhile."""
-        if self.acting:
-            return
-        self.acting = True
-        wait_s = self._pace.wait_s(now_s())
-        loop = asyncio.get_running_loop()
-        if wait_s > 0:
-            self._wake_orders()
-            loop.call_later(wait_s, self._act)
-        else:
-            loop.call_soon(self._act)
+        """Plan soon, once for all that happens meanwhile, and give orders.
+
+        Orders, as stops of cancelled jobs, don't wait for a plan that has to.
+        """
+        self._wake_orders()
+        if not self.plan_due:
+            self.plan_due = True
+            wait_s = self._pace.wait_s(now_s())
+            asyncio.get_running_loop().call_later(wait_s, self._act)
 
     def _wake_orders(self) -> None:
-        """Give orders soon, which doesn't wait for the next plan."""
+        """Give orders soon."""
         if not self._giving:
             self._giving = True
             asyncio.get_running_loop().call_soon(self._give)
@@ -149,7 +147,7 @@
         self.wake()
 
     def _act(self) -> None:
-        self.acting = False
+        self.plan_due = False
         if self._may_place():
             began_s = now_s()
             self._plan()
--- a/tests/test_openmembers.py
+++ b/tests/test_openmembers.py
@@ -43,7 +43,7 @@
             links = [FakeLink(worker) for worker in WORKERS]
             for index, link in enumerate(links):
                 control.runs.reports.take(link, report_running(index, 100))
-            await control.wait(lambda: not control.runs.acting)
+            await control.wait(lambda: not control.runs.plan_due)
             walks, plans = [], []
             monkeypatch.setattr(
                 OpenMembers, "__iter__", lambda _: walks.append(1) or iter(())
@@ -53,7 +53,7 @@
                 for index, link in enumerate(links):
                     report = report_running(index, looked_ms)
                     control.runs.reports.take(link, report)
-            assert not control.runs.acting
+            assert not control.runs.plan_due
             assert walks == []
             assert plans == []
 
--- a/tests/test_planpace.py
+++ b/tests/test_planpace.py
@@ -1,9 +1,13 @@
 """How often plans are made."""
 
+import asyncio
+
 from poolhelpers import gpu_step
 from poolhelpers import make_job
 from test_runcontrol import Control
+from test_runcontrol import FakeLink
 
+from hickorywing.orders import WorkerReport
 from hickorywing.policy import planpace
 from hickorywing.policy.planpace import PlanPace
 from hickorywing.policy.poolruns import JobState
@@ -47,3 +51,14 @@
             assert plans == []
             await control.wait(lambda: plans)
             assert len(plans) == 1
+
+    async def test_stops_do_not_wait_for_a_plan(self, monkeypatch):
+        async with Control() as control:
+            monkeypatch.setattr(control.runs._pace, "wait_s", lambda _: 60.0)
+            link = FakeLink("vm/i@1")
+            control.runs.reports.take(link, WorkerReport(worker=link.worker))
+            state = control.accept("j1")
+            control.runs.jobs.place(state.units[(0, 0, 0)], [link.worker])
+            await asyncio.sleep(0.02)
+            control.runs.jobs.cancel("j1")
+            await control.wait(lambda: link.stops)
