Log when a feed is silent and when planning is held up

The logs could not tell the hypotheses apart: a controller that placed nothing for six seconds left no line, and only the feed of the configuration logged a silence of the store; three others retried without one.

All feeds now go through one class, TableFeed, which logs a silence once when it is noticed and once when it is over. A controller logs why it places nothing and for how long, with a histogram. Waits and time limits are as before, but that a feed of statuses, jobs or agents is retried as its caller did.

--- a/hickorywing/logevents.py
+++ b/hickorywing/logevents.py
@@ -39,6 +39,8 @@
     STORE_REGAINED = "store regained"
     STORE_UNAVAILABLE = "store unavailable"
     ROW_UNREADABLE = "row unreadable"
+    FEED_SILENT = "feed silent"
+    FEED_ANSWERS = "feed answers"
     FEED_LOST_ITS_HISTORY = "feed lost its history"
     COMMIT_FAILED = "commit failed"
 
@@ -77,6 +79,8 @@
     JOBS_FORGOTTEN = "jobs forgotten"
 
     # A run is placed, stopped or ends.
+    PLANNING_HELD = "planning held"
+    PLANNING_RESUMED = "planning resumed"
     RUN_PLACED = "run placed"
     START_REFUSED = "start refused"
     START_ANSWERED = "start answered"
--- a/hickorywing/platform/configsource.py
+++ b/hickorywing/platform/configsource.py
@@ -15,6 +15,7 @@
 from hickorywing.rows import RowStore
 from hickorywing.rows import StoredRow
 from hickorywing.rows import StoreUnavailable
+from hickorywing.tablefeed import TableFeed
 
 __all__ = ["PlatformConfigurationSource"]
 
@@ -38,7 +39,7 @@
         self._store = store
         self._view = view
         self._log = log
-        self._wait_s = wait_s
+        self._changes = TableFeed(store, OPERATOR_TABLE, wait_s, log)
         self._reachable = True
 
     async def run(self) -> None:
@@ -72,7 +73,7 @@
             for row in read.rows:
                 self._take(row)
             return read.version
-        page = await self._store.follow(OPERATOR_TABLE, version, self._wait_s)
+        page = await self._changes.fetch(version)
         for row in page.rows:
             self._take(row)
         return page.version
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -55,6 +55,7 @@
 from hickorywing.rows import StoreUnavailable
 from hickorywing.runcontrol import ControllerTerms
 from hickorywing.runcontrol import RunControl
+from hickorywing.tablefeed import TableFeed
 
 __all__ = ["ControllerParts", "PoolController"]
 
@@ -255,9 +256,10 @@
         take: Callable[[StoredRow], None],
     ) -> None:
         """Hand on each change of a table; read it again after a gap."""
+        feed = TableFeed(self._store, table, wait_s, self._log)
         while True:
             try:
-                page = await self._store.follow(table, version, wait_s)
+                page = await feed.fetch(version)
                 version = page.version
                 rows = page.rows
             except HistoryLost:
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -76,6 +76,7 @@
             now_s() + terms.lease_limit_s + LEASE_SLACK_S
         )
         self.plan_due = False
+        self._held_since_s: float | None = None
         self._giving = False
         self._pace = PlanPace()
         self._saves_stored_s = 0.0
@@ -148,7 +149,9 @@
 
     def _act(self) -> None:
         self.plan_due = False
-        if self._may_place():
+        hold = self._find_hold()
+        self._note_hold(hold)
+        if not hold:
             began_s = now_s()
             self._plan()
             self._pace.note_plan(began_s, now_s())
@@ -179,13 +182,34 @@
             return False
         return now > link.lease_end_s + LEASE_SLACK_S or link.is_lapsed()
 
-    def _may_place(self) -> bool:
-        return (
-            self._lease.holds()
-            and self._is_settled()
-            and self._committer.stuck_s() < COMMIT_STUCK_S
-            and self._view.age_s(now_s()) < self._config_age_limit_s
-        )
+    def _find_hold(self) -> str:
+        """Return why nothing may be placed now, empty if it may be."""
+        if not self._lease.holds():
+            return "lease not confirmed"
+        if not self._is_settled():
+            return "workers not known yet"
+        if self._committer.stuck_s() >= COMMIT_STUCK_S:
+            return "commit not answered"
+        if self._view.age_s(now_s()) >= self._config_age_limit_s:
+            return "configuration too old"
+        return ""
+
+    def _note_hold(self, reason: str) -> None:
+        """Log when planning is held up, and when it goes on."""
+        if reason and self._held_since_s is None:
+            self._held_since_s = now_s()
+            self._log.write(
+                LogEvent.PLANNING_HELD, pool=self._lease.pool, reason=reason
+            )
+        elif not reason and self._held_since_s is not None:
+            held_s = now_s() - self._held_since_s
+            self._held_since_s = None
+            self._metrics.observe("planning_held_seconds", held_s)
+            self._log.write(
+                LogEvent.PLANNING_RESUMED,
+                pool=self._lease.pool,
+                held_s=round(held_s, 3),
+            )
 
     def _plan(self) -> None:
         """Place waiting units and stop what has to give way."""
--- a/hickorywing/statuscache.py
+++ b/hickorywing/statuscache.py
@@ -21,6 +21,7 @@
 from hickorywing.rows import RowStore
 from hickorywing.rows import StoredRow
 from hickorywing.rows import StoreUnavailable
+from hickorywing.tablefeed import TableFeed
 
 __all__ = ["Feed", "StatusCache"]
 
@@ -50,6 +51,7 @@
         self.feed: Feed | None = None
         self._store = store
         self._log = log
+        self._changes = TableFeed(store, STATUSES, FEED_WAIT_S, log)
         self._statuses: OrderedDict[RowKey, JobStatus] = OrderedDict()
         self._counts: dict[RowKey, int] = {}
         self._known: OrderedDict[RowKey, None] = OrderedDict()
@@ -61,7 +63,7 @@
             try:
                 if self.feed is None:
                     version = await self._begin()
-                page = await self._store.follow(STATUSES, version, FEED_WAIT_S)
+                page = await self._changes.fetch(version)
             except HistoryLost:
                 self._log.write(LogEvent.FEED_LOST_ITS_HISTORY, table=STATUSES)
                 self._forget()
--- /dev/null
+++ b/hickorywing/tablefeed.py
@@ -0,0 +1,65 @@
+"""Follow the changes of one table of the store, one call after another."""
+
+from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
+from hickorywing.logevents import LogEvent
+from hickorywing.rows import FeedPage
+from hickorywing.rows import HistoryLost
+from hickorywing.rows import RowStore
+from hickorywing.rows import StoreUnavailable
+
+__all__ = ["TableFeed"]
+
+
+class TableFeed:
+    """The feed of one table at one process.
+
+    Each silence of the store is logged once, when it is noticed and when it
+    is over. A caller keeps the version that it has got to:
+
+        page = await feed.fetch(version)
+        version = page.version
+    """
+
+    def __init__(
+        self, store: RowStore, table: str, wait_s: float, log: DecisionLog
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._wait_s = wait_s
+        self._log = log
+        self._silent_since_s: float | None = None
+
+    async def fetch(self, version: int) -> FeedPage:
+        """Return what changed after a version, waiting for the first change.
+
+        Raises ``StoreUnavailable`` if the store gave no answer, and
+        ``HistoryLost`` if the table has to be read again.
+        """
+        asked_s = now_s()
+        try:
+            page = await self._store.follow(self._table, version, self._wait_s)
+        except StoreUnavailable as error:
+            self._note_silence(asked_s, str(error))
+            raise
+        except HistoryLost:
+            self._note_answer()
+            raise
+        self._note_answer()
+        return page
+
+    def _note_silence(self, since_s: float, reason: str) -> None:
+        if self._silent_since_s is None:
+            self._silent_since_s = since_s
+            self._log.write(
+                LogEvent.FEED_SILENT, table=self._table, reason=reason
+            )
+
+    def _note_answer(self) -> None:
+        if self._silent_since_s is not None:
+            self._log.write(
+                LogEvent.FEED_ANSWERS,
+                table=self._table,
+                silent_s=round(now_s() - self._silent_since_s, 3),
+            )
+            self._silent_since_s = None
--- a/tests/test_planpace.py
+++ b/tests/test_planpace.py
@@ -43,7 +43,7 @@
         async with Control() as control:
             plans = []
             monkeypatch.setattr(control.runs, "_plan", lambda: plans.append(1))
-            monkeypatch.setattr(control.runs, "_may_place", lambda: True)
+            monkeypatch.setattr(control.runs, "_find_hold", lambda: "")
             monkeypatch.setattr(control.runs._pace, "wait_s", lambda _: 0.05)
             for number in range(200):
                 job = make_job(f"j{number}", (gpu_step(1),))
