Ask a store that was silent without waiting for news

Cause: a feed's call that was sent just before the store came back is never answered, and was waited for to the end of its time (1.3 s for the configuration, 2.5 s for statuses, jobs); the next call then waited for news before it proved anything (0.8 s, 2 s). Meanwhile the configuration counted as too old, so entries refused everything and the controller placed nothing.

After a silence a feed asks without waiting, so a lost call is given up after 0.5 s and the first call that reaches the store is answered at once. Class of fault: a belief is regained at the pace of the longest call instead of with the return of its source. All feeds share the class that has the change.

--- a/hickorywing/tablefeed.py
+++ b/hickorywing/tablefeed.py
@@ -1,4 +1,10 @@
-"""Follow the changes of one table of the store, one call after another."""
+"""Follow the changes of one table of the store, one call after another.
+
+Answers outages of the store. A call that is under way when the store comes
+back is never answered, and one that waits for news proves nothing until there
+is some. After a silence a feed therefore asks without waiting: such calls are
+given up soon, and the store answers the first that reaches it at once.
+"""
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
@@ -37,8 +43,9 @@
         ``HistoryLost`` if the table has to be read again.
         """
         asked_s = now_s()
+        wait_s = self._wait_s if self._silent_since_s is None else 0.0
         try:
-            page = await self._store.follow(self._table, version, self._wait_s)
+            page = await self._store.follow(self._table, version, wait_s)
         except StoreUnavailable as error:
             self._note_silence(asked_s, str(error))
             raise
--- a/tests/cutstore.py
+++ b/tests/cutstore.py
@@ -9,16 +9,24 @@
 from hickorywing.rows import Unknown
 from hickorywing.standins.rowstore import MemoryRowStore
 
-# As long as the client of the platform's store waits for an answer.
+# As long as the client of the platform's store waits for an answer, and for
+# that of a feed beyond the wait that it asked for.
 CALL_TIMEOUT_S = 1.5
+FEED_SLACK_S = 0.5
 
 
 class CutStore(RowStore):
-    """One process's way to a store, which can be cut."""
+    """One process's way to a store, which can be cut.
+
+    While it is ``silent``, calls are lost, also those that are under way, and
+    their callers wait until they give them up.
+    """
 
     def __init__(self, store: MemoryRowStore) -> None:
         self.store = store
         self.cut = False
+        self.silent = False
+        self.silences = 0
         self.loses_answers = False
 
     @property
@@ -29,15 +37,31 @@
         if self.cut:
             raise StoreUnavailable("cut off")
 
-    async def read_part(self, *where):
+    def begin_silence(self) -> None:
+        self.silent = True
+        self.silences += 1
+
+    async def _answer(self, call, limit_s: float):
+        """Return what a call does, unless a silence loses it."""
+        loop = asyncio.get_running_loop()
+        gives_up_s = loop.time() + limit_s
+        lost, silences = self.silent, self.silences
+        answer = await call
         self.check()
-        return await self.store.read_part(*where)
+        if lost or self.silences != silences:
+            await asyncio.sleep(gives_up_s - loop.time())
+            raise StoreUnavailable("no answer")
+        return answer
 
-    async def follow(self, *where):
+    async def read_part(self, *where):
         self.check()
-        page = await self.store.follow(*where)
+        return await self._answer(self.store.read_part(*where), CALL_TIMEOUT_S)
+
+    async def follow(self, table: str, version: int, wait_s: float):
         self.check()
-        return page
+        return await self._answer(
+            self.store.follow(table, version, wait_s), wait_s + FEED_SLACK_S
+        )
 
     async def commit(self, transaction: RowTransaction) -> Commit:
         if self.cut:
