Place a gang again once its members' ends show that a vanished one is over

Callers got urgent gangs late that had lost a member with its worker.

Cause: the vanished worker can't say that its run is over, so the controller waited for the end of its lease, up to 6 s here, or for its restart. Shortening leases of workers that leave doesn't help, as a lease given before the notice is never shortened (notice 1.7 s, lease 6 s).

A member ends as broken only after another one has ended. If all others of a run have ended so, the one that is missing had ended first, and a run that was seen at work can't be started again there. That is decided in policy/brokengangs.py, only for workers that are silent: others list the end themselves. If two members are missing, or another may be the cause, the lease is waited for as before.

test_runcontrol::TestVanishedMember: the first of its five tests failed before, the others hold what must go on waiting.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -136,8 +136,11 @@
         silent, so none is counted either.
         """
         left_s = self._terms.alone_until_s() + self._lease_s() - now_s()
-        is_heard = not self.silent and not self._is_worker_silent()
-        return is_heard and bool(self.clock_ms()) and left_s > 0
+        return not self.is_silent() and bool(self.clock_ms()) and left_s > 0
+
+    def is_silent(self) -> bool:
+        """Tell whether the agent, or its worker, left a call unanswered."""
+        return self.silent or self._is_worker_silent()
 
     def _is_worker_silent(self) -> bool:
         return self.report is not None and self.report.silent
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -16,6 +16,7 @@
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.openmembers import OpenMember
+from hickorywing.policy.brokengangs import has_broken_others
 from hickorywing.policy.planpace import PlanPace
 from hickorywing.policy.poolhealth import WorkerHealth
 from hickorywing.policy.poolplanner import Assignment
@@ -141,7 +142,7 @@
         for state in self.jobs.live.values():
             if state.job.occurrences:
                 state.open_due_occurrences(unix_s, now)
-        self._end_lapsed(now)
+        self._end_unheard(now)
         if now - self._saves_stored_s >= STORE_SAVES_EVERY_S:
             self._saves_stored_s = now
             self.jobs.store_saves()
@@ -161,12 +162,16 @@
         self._giving = False
         self._orders.give(self.jobs.members)
 
-    def _end_lapsed(self, now: float) -> None:
-        """End what ran on workers whose every lease has run out."""
+    def _end_unheard(self, now: float) -> None:
+        """End what has surely ended on workers that don't say so."""
         for item in self.jobs.members:
             link = self._workers.get(item.member.worker)
             if self._has_lapsed(item, link, now):
                 self.jobs.end_member(item, Ending.LAPSED)
+            elif (link is None or link.is_silent()) and has_broken_others(
+                item.unit, item.member
+            ):
+                self.jobs.end_member(item, Ending.LOST)
 
     def _has_lapsed(
         self, item: OpenMember, link: AgentLink | None, now: float
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -4,6 +4,7 @@
 import time
 
 from cutstore import CutStore
+from poolhelpers import gpu_step
 from poolhelpers import KeptLines
 from poolhelpers import make_job
 
@@ -28,6 +29,7 @@
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
+from hickorywing.policy.poolruns import Unit
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.poollease import PoolLease
 from hickorywing.rows import RowKey
@@ -51,6 +53,7 @@
         self.starts: list[tuple[str, str, int]] = []
         self.stops: list[tuple[str, str, int]] = []
         self.grants = True
+        self.silent = False
         self.outcome = OrderOutcome.OK
         self.now_ms = 0
 
@@ -69,6 +72,9 @@
     def is_lapsed(self) -> bool:
         return False
 
+    def is_silent(self) -> bool:
+        return self.silent
+
     async def start(self, worker: str, task: str, run: int, *_) -> OrderAnswer:
         self.starts.append((worker, task, run))
         return OrderAnswer(OrderOutcome.OK, self.now_ms)
@@ -109,8 +115,10 @@
         self.task.cancel()
         await asyncio.gather(self.task, return_exceptions=True)
 
-    def accept(self, job_id: str) -> JobState:
-        job = make_job(job_id)
+    def accept(
+        self, job_id: str, steps: tuple[Step, ...] = (Step(),)
+    ) -> JobState:
+        job = make_job(job_id, steps)
         version = self.store.put(job_key("p", job_id), encode_job(job))
         state = JobState(job, version, 0.0)
         self.runs.jobs.add(state, restored=False)
@@ -364,6 +372,82 @@
             assert not state.units[(0, 0, 0)].running
 
 
+class TestVanishedMember:
+    """A gang that lost a member with its worker is placed again at once.
+
+    The load: several workers crash, or are taken away at short notice, with
+    members of urgent gangs, and hold leases of seconds.
+    """
+
+    def place_gang(self, control: Control) -> Unit:
+        for worker in ("v0/i@1", "v1/i@1", "v2/i@1"):
+            link = FakeLink(worker)
+            link.now_ms = 100
+            control.runs.reports.take(link, WorkerReport(worker=worker))
+        state = control.accept("j1", (gpu_step(8, count=3, gang=True),))
+        unit = state.units[(0, 0, 0)]
+        control.runs.jobs.place(unit, ["v0/i@1", "v1/i@1", "v2/i@1"])
+        for member in unit.members:
+            member.seen = True
+        return unit
+
+    def end(self, control: Control, index: int, ending: Ending) -> None:
+        for item in control.runs.jobs.members:
+            if item.member.index == index:
+                control.runs.jobs.end_member(item, ending)
+
+    def silence(self, control: Control, *indices: int) -> None:
+        for index in indices:
+            control.runs._workers[f"v{index}/i@1"].silent = True
+
+    async def test_is_not_waited_for_until_its_lease_ends(self):
+        async with Control() as control:
+            unit = self.place_gang(control)
+            self.silence(control, 2)
+            self.end(control, 0, Ending.BROKEN)
+            control.runs.tick(0.0)
+            assert unit.running
+            self.end(control, 1, Ending.BROKEN)
+            control.runs.tick(0.0)
+            assert not unit.running
+            assert unit.members[2].ending is Ending.LOST
+
+    async def test_is_waited_for_if_another_may_be_the_cause(self):
+        async with Control() as control:
+            unit = self.place_gang(control)
+            self.silence(control, 2)
+            self.end(control, 0, Ending.FAILED)
+            self.end(control, 1, Ending.BROKEN)
+            control.runs.tick(0.0)
+            assert unit.running
+
+    async def test_is_waited_for_if_two_are_missing(self):
+        async with Control() as control:
+            unit = self.place_gang(control)
+            self.silence(control, 1, 2)
+            self.end(control, 0, Ending.BROKEN)
+            control.runs.tick(0.0)
+            assert unit.running
+
+    async def test_is_waited_for_if_its_start_may_come_late(self):
+        async with Control() as control:
+            unit = self.place_gang(control)
+            unit.members[2].seen = False
+            self.silence(control, 2)
+            self.end(control, 0, Ending.BROKEN)
+            self.end(control, 1, Ending.BROKEN)
+            control.runs.tick(0.0)
+            assert unit.running
+
+    async def test_of_a_worker_that_answers_is_left_to_its_list(self):
+        async with Control() as control:
+            unit = self.place_gang(control)
+            self.end(control, 0, Ending.BROKEN)
+            self.end(control, 1, Ending.BROKEN)
+            control.runs.tick(0.0)
+            assert unit.running
+
+
 class TestUnansweredOrders:
     """Orders without an answer are repeated with pauses.
 
