Count each failed run of a unit as one attempt, also when it is listed late

Two members of a gang that failed in one run counted as two attempts, so a job could be shown as failed one run too soon; the failure of a run that had been given up, listed once its worker was back, counted as none, so a run could follow although all attempts had failed.

Cause: failures were counted by member instead of by run. A unit now names the failed runs of the term.

test_runcontrol::TestEarlierRun::test_failed is replaced: it demanded that a late failure counts for nothing. The users' budget is of runs that ended as failed, if these ends are taken note of then or later, and this one is. The new check is as strict (exactly one, the present run goes on) and has a second beside it for the last attempt.

--- a/hickorywing/livejobs.py
+++ b/hickorywing/livejobs.py
@@ -203,6 +203,21 @@
         self._settle(state)
         return True
 
+    def count_late_failure(self, name: str, run: int) -> bool:
+        """Count the failure of a run that had been given up as an attempt.
+
+        Tells whether that changes anything.
+        """
+        task = parse_task(name)
+        state = None if task is None else self.live.get(task.job_id)
+        unit = None if state is None else state.find_unit(task)
+        if unit is None or unit.done or state.final or run > unit.run:
+            return False
+        if not unit.count_failure(run):
+            return False
+        self._settle(state)
+        return True
+
     def _note_health(
         self, state: JobState, member: Member, ending: Ending
     ) -> None:
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -112,10 +112,11 @@
     """Tasks that are placed together, and their present run, if any.
 
     ``committed`` tells whether the place of the present run is stored; no
-    start may be ordered before. ``stopping`` names why the run is being
-    closed although it has not ended by itself; ``stalls`` counts how often
-    that was because it stood still. ``displaced_at_s`` is the moment at which
-    it was told to give way to another unit.
+    start may be ordered before. ``failures`` counts the runs that failed,
+    ``failed_runs`` names those of the present term. ``stopping`` names why the
+    run is being closed although it has not ended by itself; ``stalls`` counts
+    how often that was because it stood still. ``displaced_at_s`` is the moment
+    at which it was told to give way to another unit.
     """
 
     job_id: str
@@ -125,6 +126,7 @@
     count: int
     run: int = 0
     failures: int = 0
+    failed_runs: set[int] = field(default_factory=set)
     done: bool = False
     saved: str = ""
     members: list[Member] = field(default_factory=list)
@@ -193,10 +195,22 @@
             for other in self.open_members():
                 other.ending = Ending.DONE
         elif ending is Ending.FAILED and not self.done:
-            self.failures += 1
+            self.count_failure(self.run)
         if self.count > 1 and not self.done and self.running:
             self.stopping = self.stopping or f"member {ending}"
 
+    def count_failure(self, run: int) -> bool:
+        """Count a failed run as an attempt; tell whether it was not before.
+
+        Several members may fail in one run, and the end of one that was given
+        up may be listed during a later run.
+        """
+        if run in self.failed_runs:
+            return False
+        self.failed_runs.add(run)
+        self.failures += 1
+        return True
+
 
 class JobState:
     """One accepted job and the state of all its units."""
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -183,9 +183,11 @@
         Its worker forgets it only once the job is stored: the end may be that
         of a gang whose other members have ended its run a moment before.
         """
-        adopted = end.how == Ending.DONE and self._jobs.adopt_done(
-            end.task, end.run
-        )
+        adopted = False
+        if end.how == Ending.DONE:
+            adopted = self._jobs.adopt_done(end.task, end.run)
+        elif end.how == Ending.FAILED:
+            adopted = self._jobs.count_late_failure(end.task, end.run)
         self._log.write(
             LogEvent.END_OF_ANOTHER_RUN,
             task=end.task,
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -259,7 +259,7 @@
 
 
 class TestEarlierRun:
-    """An end that comes after its run was given up counts if it is done.
+    """An end that comes after its run was given up counts.
 
     The load: agents are frozen or cut off for longer than a lease, while their
     workers end what they run; it is placed elsewhere meanwhile.
@@ -304,7 +304,16 @@
             self.list_end(control, "failed")
             unit = state.units[(0, 0, 0)]
             assert not unit.done
-            assert unit.failures == 0
+            assert unit.failures == 1
+            assert unit.running and not unit.stopping
+
+    async def test_last_attempt_that_is_listed_late_fails_the_job(self):
+        async with Control() as control:
+            state = self.give_up(control, Step())
+            state.units[(0, 0, 0)].count_failure(0)
+            self.list_end(control, "failed")
+            assert state.status is JobStatus.FAILED
+            assert state.units[(0, 0, 0)].stopping
 
     async def test_done_of_a_task_that_lasts(self):
         async with Control() as control:
@@ -439,6 +448,26 @@
             control.runs.tick(0.0)
             assert unit.running
 
+    async def test_its_failure_counts_when_it_is_listed_later(self):
+        async with Control() as control:
+            unit = self.place_gang(control)
+            self.silence(control, 2)
+            self.end(control, 0, Ending.BROKEN)
+            self.end(control, 1, Ending.BROKEN)
+            control.runs.tick(0.0)
+            ends = (EndedRun(1, "j1.0.0.2", 1, "failed"),)
+            link = control.runs._workers["v2/i@1"]
+            report = WorkerReport(worker=link.worker, ended=ends)
+            control.runs.reports.take(link, report)
+            assert unit.failures == 1
+
+    async def test_two_that_fail_in_one_run_are_one_attempt(self):
+        async with Control() as control:
+            unit = self.place_gang(control)
+            self.end(control, 0, Ending.FAILED)
+            self.end(control, 1, Ending.FAILED)
+            assert unit.failures == 1
+
     async def test_of_a_worker_that_answers_is_left_to_its_list(self):
         async with Control() as control:
             unit = self.place_gang(control)
