Ask the balancer for no callers while an entry can't reach the store

Cause: an entry said that it was ready until its configuration was older than the bound of the deployment, 4 s there, and the balancer takes two more probes. It refuses every job from the first lost call on. It now says that it isn't ready as long as its configuration feed has no answer; two missed probes are the hysteresis. If the store is down for all, no entry is ready and the balancer uses all of them, as before.

test_poolpath: the new test failed before (2.9 s until the entry said so, bound 1.5 s) and passes.

--- a/hickorywing/platform/configsource.py
+++ b/hickorywing/platform/configsource.py
@@ -42,6 +42,10 @@
         self._changes = TableFeed(store, OPERATOR_TABLE, wait_s, log)
         self._reachable = True
 
+    def is_reachable(self) -> bool:
+        """Tell whether the store gave an answer when it was last asked."""
+        return self._reachable
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         version: int | None = None
--- a/hickorywing/poolconfig.py
+++ b/hickorywing/poolconfig.py
@@ -147,6 +147,10 @@
 class ConfigurationSource(ABC):
     """Where a view's content comes from."""
 
+    @abstractmethod
+    def is_reachable(self) -> bool:
+        """Tell whether the source gave an answer when it was last asked."""
+
     @abstractmethod
     async def run(self) -> None:
         """Keep the view up to date until cancelled."""
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -88,13 +88,13 @@
             self._log,
             self._metrics,
         )
-        source = PlatformConfigurationSource(
+        self._source = PlatformConfigurationSource(
             store, self._view, self._log, CONFIG_WAIT_S
         )
         self._peers = PeerBook(settings.name, settings.link, store, self._log)
         tasks = [
             guard_task(self._peers.register(), self._report),
-            guard_task(source.run(), self._report),
+            guard_task(self._source.run(), self._report),
             guard_task(cache.run(), self._report),
             guard_task(self._keep_controllers(store, http), self._report),
         ]
@@ -155,9 +155,14 @@
         return None if known is None else known[0].lease
 
     async def handle_ready(self, request: Request) -> Response:
-        """Tell whether new callers are welcome."""
+        """Tell whether new callers are welcome.
+
+        An entry that can't reach the store refuses every job, while entries
+        of other zones may take them.
+        """
         ready = (
             not self._leaving
+            and self._source.is_reachable()
             and self._view.configuration is not None
             and self._view.age_s(now_s()) < self._settings.ready_age_limit_s
         )
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -92,6 +92,7 @@
         self.ways: dict[str, CutStore] = {}
         self.workers: dict[str, PlatformWorkerStandin] = {}
         self.entries: dict[str, str] = {}
+        self.probes: dict[str, str] = {}
         self._folder = folder
         self._counts = (workers, entries)
         self._servers: list[WebServer] = []
@@ -157,11 +158,12 @@
             PlatformStoreStandin(way).make_app(), free_address()
         )
         self.entries[name] = listen
+        self.probes[name] = free_address()
         settings = {
             "name": name,
             "zone": zone,
             "listen": listen,
-            "ready": free_address(),
+            "ready": self.probes[name],
             "link": free_address(),
             "store": store,
             "lease_limit_s": 10,
@@ -259,6 +261,12 @@
             {"Host": HOST, "X-Credential": key, "X-Deadline-Ms": "3000"},
         )
 
+    async def is_ready(self, entry: str) -> bool:
+        """Probe an entry as the callers' balancer does."""
+        url = f"http://{self.probes[entry]}/readiness"
+        answer = await self.http.call("GET", url, 1.0)
+        return answer.status == 200
+
     async def submit(
         self,
         job_id: str,
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -7,6 +7,7 @@
 from platformsystem import make_configuration
 from platformsystem import PlatformSystem
 
+from hickorywing.clock import now_s
 from hickorywing.rows import RowKey
 
 JOB = "00000000000000a"
@@ -264,6 +265,22 @@
             system.store.down = False
             await system.wait_status(JOB + "0", "completed")
 
+    async def test_entry_that_would_refuse_asks_for_no_callers(self, tmp_path):
+        """A zone may have no other entry that its callers could try."""
+        async with PlatformSystem(tmp_path, workers=1) as system:
+            assert await system.is_ready("e0")
+            system.ways["e0"].cut = True
+            began_s = now_s()
+
+            async def has_left() -> bool:
+                return not await system.is_ready("e0")
+
+            await system.wait(has_left)
+            assert now_s() - began_s < 1.5
+            assert await system.is_ready("e1")
+            system.ways["e0"].cut = False
+            await system.wait(lambda: system.is_ready("e0"))
+
     async def test_silent_store_ends_keys(self, tmp_path):
         async with PlatformSystem(tmp_path, workers=1, entries=1) as system:
             system.store.down = True
