--- a/hickorywing/committer.py
+++ b/hickorywing/committer.py
@@ -21,6 +21,7 @@
 from hickorywing.rows import commit_checked
 from hickorywing.rows import Committed
 from hickorywing.rows import Mismatch
+from hickorywing.rows import Refused
 from hickorywing.rows import RowExpectation
 from hickorywing.rows import RowKey
 from hickorywing.rows import RowStore
@@ -35,9 +36,12 @@
 ROWS_PER_COMMIT = 45
 # As long as the client of the store waits for an answer.
 COMMIT_PATIENCE_S = 1.5
-# The pool has one writer, so tries may follow each other closely; what is not
-# stored when all VMs lose power has to be done again.
-RETRY_S = 0.05
+# A refused transaction is in no queue, and a pool has one writer, so tries may
+# follow each other closely: what is not stored when all VMs lose power has to
+# be done again. One without an answer may still be queued at a slow store.
+REFUSED_RETRY_S = 0.05
+RETRY_S = 0.1
+LAST_RETRY_S = 0.5
 
 Encode = Callable[[], bytes]
 Stored = Callable[[], None]
@@ -150,6 +154,7 @@
 
     async def _commit(self, values: dict[RowKey, bytes]) -> bool:
         """Write until it is done; ``False`` when the role is lost."""
+        pause_s = RETRY_S
         doubtful = False
         while True:
             answer = await commit_checked(
@@ -171,7 +176,11 @@
                 rows=len(values),
                 tried_s=round(self.stuck_s(), 3),
             )
-            await asyncio.sleep(RETRY_S)
+            if isinstance(answer, Refused):
+                await asyncio.sleep(REFUSED_RETRY_S)
+                continue
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, LAST_RETRY_S)
 
     def _transaction(self, values: dict[RowKey, bytes]) -> RowTransaction:
         expects = [self._lease.expectation()]
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -41,6 +41,8 @@
 
 # A pause between tries, and two transactions.
 STORED_WITHIN_S = 0.15
+# In two seconds, with pauses that grow to half a second.
+MOST_TRIES = 7
 
 
 class FakeLink:
@@ -159,6 +161,21 @@
             assert now_s() - back_s < STORED_WITHIN_S
 
 
+class TestSlowStore:
+    """A transaction without an answer isn't sent again and again.
+
+    The load: a store that is dozens of times slower than usual works off a
+    queue, in which each try of the same transaction takes its turn.
+    """
+
+    async def test_tries_without_an_answer_get_rarer(self):
+        async with Control() as control:
+            control.store.down = True
+            control.runs.jobs.store(control.accept("j1"))
+            await asyncio.sleep(2.0)
+            assert control.store.commits <= MOST_TRIES
+
+
 class TestRows:
     """Rows follow the decisions, whatever the store answers."""
 
