Renew a lease without a pause while renewals take long

And after 0.55 s a renewal was looked for by a read that had to be answered first, 0.3 s there, although the transaction's own answer had come.

The pause now counts from when the last renewal was sent, so at a slow store one renewal follows the other, and the answer of a transaction ends the search for its row. At a store of usual speed the pace is as before: the next is sent after 0.4 s instead of 0.41 s.

test_poollease::TestBusyStore::test_lease_holds_while_renewals_take_long failed before (transactions of 0.6 s, reads of 0.3 s) and passes.

--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -331,8 +331,11 @@
 
     async def _renew_until_lost(self) -> None:
         while not self._lost.is_set():
+            sent_s = now_s()
             confirmed = await self._renew()
-            pause_s = RENEW_EVERY_S if confirmed else RETRY_S
+            # At a slow store the lease would run out during a further pause.
+            left_s = max(0.0, sent_s + RENEW_EVERY_S - now_s())
+            pause_s = left_s if confirmed else RETRY_S
             try:
                 await asyncio.wait_for(self._lost.wait(), pause_s)
             except TimeoutError:
--- a/hickorywing/rows.py
+++ b/hickorywing/rows.py
@@ -198,10 +198,23 @@
             done, _ = await asyncio.wait({commit}, timeout=wait_s)
             if done:
                 return commit.result()
+            find = asyncio.ensure_future(find_written(store, transaction))
+            # Its outcome doesn't matter if the transaction is answered first.
+            find.add_done_callback(
+                lambda task: task.cancelled() or task.exception()
+            )
             try:
-                row = await find_written(store, transaction)
+                # A slow store may answer the transaction before the read.
+                await asyncio.wait(
+                    {commit, find}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if commit.done():
+                    return commit.result()
+                row = find.result()
             except StoreUnavailable:
                 return await commit
+            finally:
+                find.cancel()
             if row is not None:
                 return Committed(row.version)
             if clock() >= deadline:
--- a/tests/test_poollease.py
+++ b/tests/test_poollease.py
@@ -214,6 +214,25 @@
             assert both.leases["a"].holds()
             assert both.offered_s == float("inf")
 
+    async def test_lease_holds_while_renewals_take_long(self):
+        async with Candidates() as both:
+            way = both.ways["a"]
+            commit, read_part = way.commit, way.read_part
+
+            async def commit_slowly(transaction):
+                await asyncio.sleep(0.4 * LEASE_S)
+                return await commit(transaction)
+
+            async def read_slowly(*where):
+                await asyncio.sleep(0.2 * LEASE_S)
+                return await read_part(*where)
+
+            way.commit, way.read_part = commit_slowly, read_slowly
+            await asyncio.sleep(LEASE_S)
+            for _ in range(60):
+                await asyncio.sleep(0.05)
+                assert both.leases["a"].holds()
+
 
 class TestLostAnswers:
     """A holder whose renewals take effect unanswered keeps its role.
