Count no failure twice after a hand-over, and trust only single starts

A worker lists an end until it may forget it, also to a successor of the controller that had counted and stored its failure; the successor would have counted it once more, and a job could have been shown as failed without cause. And a gang's silent member counted as over although an earlier start of the same run had got no answer: if its worker restarted under its old name, that start could have begun the run a second time.

Only runs that this term has given up (lapsed or lost) now count when their failure is listed late, and a silent member must have been seen after a single start.

test_runcontrol: both new tests failed before (2 attempts, wanted 1; the gang was placed again).

--- a/hickorywing/livejobs.py
+++ b/hickorywing/livejobs.py
@@ -206,14 +206,16 @@
     def count_late_failure(self, name: str, run: int) -> bool:
         """Count the failure of a run that had been given up as an attempt.
 
-        Tells whether that changes anything.
+        Tells whether that changes anything. A worker may list an end again
+        after its failure was counted and stored by an earlier controller, so
+        only runs that this one has given up are counted.
         """
         task = parse_task(name)
         state = None if task is None else self.live.get(task.job_id)
         unit = None if state is None else state.find_unit(task)
-        if unit is None or unit.done or state.final or run > unit.run:
+        if unit is None or unit.done or state.final:
             return False
-        if not unit.count_failure(run):
+        if run not in unit.given_up_runs or not unit.count_failure(run):
             return False
         self._settle(state)
         return True
--- a/hickorywing/policy/brokengangs.py
+++ b/hickorywing/policy/brokengangs.py
@@ -17,13 +17,14 @@
     """Tell whether it was a member's own end that broke its gang.
 
     A member ends as broken only after another one has ended, so if all others
-    have, this one had ended before. It must have been seen at work: a start
-    that is carried out late could begin after the others' end.
+    have, this one had ended before. It must have been seen at work after a
+    single start: one that is carried out late could begin after their end.
     """
     others = [item for item in unit.members if item is not member]
     return (
         member.ending is None
         and member.seen
+        and member.tries <= 1
         and bool(others)
         and all(item.ending is Ending.BROKEN for item in others)
     )
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -55,6 +55,9 @@
 # the attempts of a whole job within one.
 AVOID_S = 8.0
 
+# How a member ends whose own end was not heard.
+GIVEN_UP = frozenset({Ending.LAPSED, Ending.LOST})
+
 FINAL = frozenset({JobStatus.COMPLETED, JobStatus.FAILED, JobStatus.CANCELLED})
 
 
@@ -112,11 +115,13 @@
     """Tasks that are placed together, and their present run, if any.
 
     ``committed`` tells whether the place of the present run is stored; no
-    start may be ordered before. ``failures`` counts the runs that failed,
-    ``failed_runs`` names those of the present term. ``stopping`` names why the
-    run is being closed although it has not ended by itself; ``stalls`` counts
-    how often that was because it stood still. ``displaced_at_s`` is the moment
-    at which it was told to give way to another unit.
+    start may be ordered before. ``failures`` counts the runs that failed. Of
+    the present term, ``failed_runs`` names those that did, and
+    ``given_up_runs`` those of which a member's end was not heard. ``stopping``
+    names why the run is being closed although it has not ended by itself;
+    ``stalls`` counts how often that was because it stood still.
+    ``displaced_at_s`` is the moment at which it was told to give way to
+    another unit.
     """
 
     job_id: str
@@ -127,6 +132,7 @@
     run: int = 0
     failures: int = 0
     failed_runs: set[int] = field(default_factory=set)
+    given_up_runs: set[int] = field(default_factory=set)
     done: bool = False
     saved: str = ""
     members: list[Member] = field(default_factory=list)
@@ -196,6 +202,8 @@
                 other.ending = Ending.DONE
         elif ending is Ending.FAILED and not self.done:
             self.count_failure(self.run)
+        elif ending in GIVEN_UP:
+            self.given_up_runs.add(self.run)
         if self.count > 1 and not self.done and self.running:
             self.stopping = self.stopping or f"member {ending}"
 
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -333,6 +333,16 @@
             assert state.status is JobStatus.FAILED
             assert state.units[(0, 0, 0)].stopping
 
+    async def test_failure_that_a_successor_is_told_again(self):
+        async with Control() as control:
+            state = self.give_up(control, Step())
+            unit = state.units[(0, 0, 0)]
+            # The row has the failure, the worker has not been told so.
+            unit.given_up_runs.clear()
+            unit.failures = 1
+            self.list_end(control, "failed")
+            assert unit.failures == 1
+
     async def test_done_of_a_task_that_lasts(self):
         async with Control() as control:
             state = self.give_up(control, Step(lasting=True))
@@ -499,6 +509,16 @@
             self.end(control, 1, Ending.FAILED)
             assert unit.failures == 1
 
+    async def test_is_waited_for_if_an_earlier_start_may_come_late(self):
+        async with Control() as control:
+            unit = self.place_gang(control)
+            unit.members[2].tries = 2
+            self.silence(control, 2)
+            self.end(control, 0, Ending.BROKEN)
+            self.end(control, 1, Ending.BROKEN)
+            control.runs.tick(0.0)
+            assert unit.running
+
     async def test_of_a_worker_that_answers_is_left_to_its_list(self):
         async with Control() as control:
             unit = self.place_gang(control)
