--- a/hickorywing/workerwatch.py
+++ b/hickorywing/workerwatch.py
@@ -154,7 +154,9 @@
         return self._busy or self._silent or not self._present
 
     async def _look_once(self, announcement: Announcement) -> None:
-        wait_s = LOOK_WAIT_S if self._present and self._look else 0.0
+        # The first answer after a silence is news by itself.
+        may_wait = self._present and self._look and not self._silent
+        wait_s = LOOK_WAIT_S if may_wait else 0.0
         epoch = self.epoch
         lease_ms = self._pass_on(self._lease_ms)
         self._interrupt.clear()
--- a/tests/test_workerwatch.py
+++ b/tests/test_workerwatch.py
@@ -4,6 +4,7 @@
 
 from poolhelpers import KeptLines
 
+from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
 from hickorywing.metrics import Metrics
 from hickorywing.orders import OrderAnswer
@@ -118,6 +119,23 @@
         return answer.outcome
 
 
+class TestReturn:
+    """A worker that was silent for a moment is in use again at once.
+
+    The load: many workers reset connections now and then. While one counts as
+    silent, it gets no starts and no leases.
+    """
+
+    async def test_first_answer_is_not_held_back_for_news(self):
+        async with Agent() as agent:
+            await agent.lose_worker()
+            agent.worker.silent = False
+            back_s = now_s()
+            while (await agent.ask(busy=True)).silent:
+                pass
+            assert now_s() - back_s < 0.5
+
+
 class TestPresence:
     """A worker is present once it has answered a look."""
 
