Let a part end whose event is set in the instant of its stop

For callers and operators it is a planned stop of an agent that takes until the platform kills it.

Cause: asyncio.wait_for of Python 3.11 returns the result and drops the cancellation if what it waits for is done in the instant of the cancellation. The feed of the store in memory then went on for ever; so would an agent's looks at its worker, whose wake-ups come all the time.

All waits for an event with a limit use waiting.wait_for_event, which keeps the cancellation. test_waiting::TestCancelled failed with wait_for in its place, at the first turn of the loop, and passes.

--- a/hickorywing/poolconfig.py
+++ b/hickorywing/poolconfig.py
@@ -9,11 +9,11 @@
 from abc import abstractmethod
 import asyncio
 from collections.abc import Iterable
-import contextlib
 from dataclasses import dataclass
 
 from hickorywing.policy.poolmodel import Customer
 from hickorywing.policy.poolmodel import QueueTerms
+from hickorywing.waiting import wait_for_event
 
 __all__ = [
     "Configuration",
@@ -111,8 +111,7 @@
 
     async def wait_first(self, timeout_s: float) -> None:
         """Return once the state was read for the first time, or in time."""
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._proved.wait(), timeout_s)
+        await wait_for_event(self._proved, timeout_s)
 
     def age_s(self, now_s: float) -> float:
         """Return for how long the state may have been out of date."""
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -39,6 +39,7 @@
 from hickorywing.rows import StoredRow
 from hickorywing.rows import StoreUnavailable
 from hickorywing.rows import Unknown
+from hickorywing.waiting import wait_for_event
 
 __all__ = [
     "LEASE_S",
@@ -336,10 +337,7 @@
             # At a slow store the lease would run out during a further pause.
             left_s = max(0.0, sent_s + RENEW_EVERY_S - now_s())
             pause_s = left_s if confirmed else RETRY_S
-            try:
-                await asyncio.wait_for(self._lost.wait(), pause_s)
-            except TimeoutError:
-                continue
+            await wait_for_event(self._lost, pause_s)
 
     async def _renew(self) -> bool:
         """Try one renewal; tell whether it is confirmed."""
--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -18,6 +18,7 @@
 
 from hickorywing.httpclient import CallError
 from hickorywing.httpclient import HttpClient
+from hickorywing.waiting import wait_for_event
 from hickorywing.web import add_route
 from hickorywing.web import answer_json
 from hickorywing.web import make_app
@@ -272,10 +273,8 @@
         wait_s = body.get("wait-ms", 0) / 1000
         if not self._ended and wait_s:
             self._news.clear()
-            try:
-                await asyncio.wait_for(self._news.wait(), wait_s)
-            except TimeoutError:
-                pass  # Nothing ended; the lists say so.
+            # If nothing ended, the lists say so.
+            await wait_for_event(self._news, wait_s)
         return answer_json(200, self._list())
 
     def _list(self) -> dict[str, Any]:
--- a/hickorywing/standins/rowstore.py
+++ b/hickorywing/standins/rowstore.py
@@ -18,6 +18,7 @@
 from hickorywing.rows import StoreUnavailable
 from hickorywing.rows import TableRead
 from hickorywing.rows import Unknown
+from hickorywing.waiting import wait_for_event
 
 __all__ = ["MemoryRowStore", "StoreFault"]
 
@@ -166,7 +167,4 @@
             left_s = deadline - loop.time()
             if rows or left_s <= 0:
                 return FeedPage(rows, self.version)
-            try:
-                await asyncio.wait_for(self._changed.wait(), left_s)
-            except TimeoutError:
-                continue
+            await wait_for_event(self._changed, left_s)
--- a/hickorywing/workerwatch.py
+++ b/hickorywing/workerwatch.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Coroutine
-import contextlib
 from dataclasses import dataclass
 
 from hickorywing.clock import now_s
@@ -14,6 +13,7 @@
 from hickorywing.orders import StopOrder
 from hickorywing.orders import WatchOrder
 from hickorywing.orders import WorkerReport
+from hickorywing.waiting import wait_for_event
 from hickorywing.worker import Announcement
 from hickorywing.worker import Look
 from hickorywing.worker import Worker
@@ -186,8 +186,7 @@
         self._take_look(look, epoch)
         if any(end.number > self._noted for end in look.ended):
             self._wake.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), NOTE_WAIT_S)
+            await wait_for_event(self._wake, NOTE_WAIT_S)
 
     def _pass_on(self, lease_ms: int) -> int:
         """Return the lease that a call to the worker may carry.
@@ -270,8 +269,7 @@
                 self._wake.set()
         if order.seen == self._number and order.wait_s and not self._closing:
             self._news.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._news.wait(), order.wait_s)
+            await wait_for_event(self._news, order.wait_s)
         return self._report()
 
     def _report(self) -> WorkerReport:
