Tell a waiting feed of the store in memory that its history is lost

Cause, in the stand-in: a feed that waited while the history was dropped got a page without the dropped changes and with the newest version, instead of the error; before, the wait woke some turns later, when the store was down, which hid it. The stand-in now looks for the lost history each time it wakes, so the check is as strict as before and no longer depends on turns of the loop.

--- a/hickorywing/standins/rowstore.py
+++ b/hickorywing/standins/rowstore.py
@@ -152,13 +152,13 @@
         self, table: str, after_version: int, wait_s: float
     ) -> FeedPage:
         """Return what changed after a version."""
-        if after_version < self._oldest:
-            raise HistoryLost(table)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
         while True:
             if self.down:
                 raise StoreUnavailable("the store is down")
+            if after_version < self._oldest:
+                raise HistoryLost(table)
             rows = tuple(
                 row
                 for row in self._changes
