Send a commit again that was lost just before the store came back

A transaction sent at 22.08 s was lost; the read that it was doubted by was answered, as the store was back, so it was given its whole time of 1.5 s and a pause of 0.5 s. Ruled out: the lease and the configuration (renewed at 22.67, known at 22.73 s).

If a store answers a read within 0.1 s and has not applied a transaction for 0.55 s, that is taken as lost and sent again, which its expected versions make safe. At a slow store reads take longer, and it is waited for as before. Submissions of callers go the same way and are settled sooner.

--- a/hickorywing/committer.py
+++ b/hickorywing/committer.py
@@ -36,12 +36,14 @@
 ROWS_PER_COMMIT = 45
 # As long as the client of the store waits for an answer.
 COMMIT_PATIENCE_S = 1.5
-# A refused transaction is in no queue, and a pool has one writer, so tries may
-# follow each other closely: what is not stored when all VMs lose power has to
-# be done again. One without an answer may still be queued at a slow store.
-REFUSED_RETRY_S = 0.05
+# A refused transaction is in no queue, nor is one that a store hasn't applied
+# that reads well. A pool has one writer, so their tries may follow each other
+# closely: what is not stored when all VMs lose power has to be done again. Any
+# other without an answer may still be queued at a slow store.
+QUICK_RETRY_S = 0.05
 RETRY_S = 0.1
 LAST_RETRY_S = 0.5
+LOST = Unknown(store_reads=True)
 
 Encode = Callable[[], bytes]
 Stored = Callable[[], None]
@@ -176,8 +178,8 @@
                 rows=len(values),
                 tried_s=round(self.stuck_s(), 3),
             )
-            if isinstance(answer, Refused):
-                await asyncio.sleep(REFUSED_RETRY_S)
+            if isinstance(answer, Refused) or answer == LOST:
+                await asyncio.sleep(QUICK_RETRY_S)
                 continue
             await asyncio.sleep(pause_s)
             pause_s = min(2 * pause_s, LAST_RETRY_S)
--- a/hickorywing/rows.py
+++ b/hickorywing/rows.py
@@ -46,6 +46,9 @@
 # silent for all calls has been given up by then.
 CHECK_AFTER_S = 0.55
 CHECK_AGAIN_S = 0.25
+# A store that reads this quickly isn't slow, so a transaction that it has not
+# applied by then was lost on its way.
+QUICK_READ_S = 0.1
 
 
 class StoreUnavailable(HickorywingError):  # noqa: N818
@@ -198,6 +201,7 @@
             done, _ = await asyncio.wait({commit}, timeout=wait_s)
             if done:
                 return commit.result()
+            asked_s = clock()
             find = asyncio.ensure_future(find_written(store, transaction))
             # Its outcome doesn't matter if the transaction is answered first.
             find.add_done_callback(
@@ -217,7 +221,8 @@
                 find.cancel()
             if row is not None:
                 return Committed(row.version)
-            if clock() >= deadline:
+            answered_s = clock()
+            if answered_s >= deadline or answered_s - asked_s < QUICK_READ_S:
                 return Unknown(store_reads=True)
             wait_s = CHECK_AGAIN_S
     finally:
--- a/tests/cutstore.py
+++ b/tests/cutstore.py
@@ -66,6 +66,9 @@
     async def commit(self, transaction: RowTransaction) -> Commit:
         if self.cut:
             return Unknown()
+        if self.silent:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return Unknown()
         answer = await self.store.commit(transaction)
         if self.loses_answers:
             await asyncio.sleep(CALL_TIMEOUT_S)
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -41,6 +41,8 @@
 
 # A pause between tries, and two transactions.
 STORED_WITHIN_S = 0.15
+# The time after which a store of usual speed is asked what it has, and a try.
+LOST_COMMIT_S = 1.0
 # In two seconds, with pauses that grow to half a second.
 MOST_TRIES = 7
 
@@ -94,6 +96,7 @@
         self.store = MemoryRowStore()
         way = CutStore(self.store)
         way.loses_answers = loses_answers
+        self.way = way
         metrics = Metrics("test")
         log = DecisionLog("test", "entry", metrics, output or KeptLines())
         self.lease = PoolLease("p", "e0", way, log, metrics)
@@ -160,6 +163,18 @@
             )
             assert now_s() - back_s < STORED_WITHIN_S
 
+    async def test_commit_lost_just_before_the_return_is_sent_again(self):
+        async with Control() as control:
+            control.way.begin_silence()
+            control.runs.jobs.store(control.accept("j1"))
+            began_s = now_s()
+            await asyncio.sleep(0.3)
+            control.way.silent = False
+            await control.wait(
+                lambda: progress_key("p", "j1") in control.store.rows
+            )
+            assert now_s() - began_s < LOST_COMMIT_S
+
 
 class TestSlowStore:
     """A transaction without an answer isn't sent again and again.
