Log when a job's end is stored and shown, and what its objective is

A job that is reported as late could not be followed to its end: the logs told when a controller noted the end, not when it was in the store nor when a caller was told of it, and nothing of what the job should have taken. One line a job at the controller and one a job at each entry that answers for it; no logic changes.

--- a/hickorywing/jobdesk.py
+++ b/hickorywing/jobdesk.py
@@ -5,6 +5,7 @@
 a refusal.
 """
 
+from collections import OrderedDict
 from dataclasses import dataclass
 import enum
 
@@ -16,6 +17,7 @@
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.policy.poolmodel import PoolJob
+from hickorywing.policy.poolruns import FINAL
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.rows import commit_until
 from hickorywing.rows import Committed
@@ -35,6 +37,8 @@
 # A doubtful submission is answered as unknown after this time, while the
 # caller still has time to ask at another entry, which may reach the store.
 SETTLE_S = 0.8
+# Jobs whose end was shown already; about 100 bytes each.
+KEPT_SHOWN = 10_000
 
 
 class Outcome(enum.StrEnum):
@@ -70,6 +74,7 @@
         self._cache = cache
         self._log = log
         self._metrics = metrics
+        self._shown: OrderedDict[str, None] = OrderedDict()
 
     async def submit(self, job: PoolJob, patience_s: float) -> Answer:
         """Accept a job, or tell that it was not or may not be accepted."""
@@ -100,6 +105,9 @@
             job=job.job_id,
             queue=job.terms.queue,
             customer=job.customer,
+            priority=job.terms.priority,
+            stretch=job.terms.stretch,
+            latency_target_s=job.terms.latency_target_s,
             store=type(result).__name__.lower(),
             outcome=outcome,
             took_s=round(took_s, 3),
@@ -141,8 +149,19 @@
         if status is None:
             self._log.write(LogEvent.NO_SUCH_JOB, job=job_id)
             return Answer(Outcome.UNKNOWN_JOB)
+        if status in FINAL:
+            self._note_shown(job_id, status)
         return Answer(Outcome.DONE, status=status)
 
+    def _note_shown(self, job_id: str, status: JobStatus) -> None:
+        """Log that a caller is told of a job's end, once for each job."""
+        if job_id in self._shown:
+            return
+        self._shown[job_id] = None
+        if len(self._shown) > KEPT_SHOWN:
+            self._shown.popitem(last=False)
+        self._log.write(LogEvent.STATUS_SHOWN, job=job_id, status=status)
+
     async def count_waiting(self, pool: str, queue: str) -> Answer:
         """Return how many jobs of a queue have not begun."""
         try:
--- a/hickorywing/livejobs.py
+++ b/hickorywing/livejobs.py
@@ -259,6 +259,8 @@
             self._published[job_id] = state.status
             key = status_key(self._pool, job_id)
             beside[key] = lambda: encode_status(state.status)
+            if state.final:
+                stored = self._log_stored(state, stored)
         self._committer.put(
             progress_key(self._pool, state.job.job_id),
             lambda: encode_progress(state, self._committer.clock_s()),
@@ -266,6 +268,22 @@
             beside,
         )
 
+    def _log_stored(
+        self, state: JobState, stored: Callable[[], None] | None
+    ) -> Callable[[], None]:
+        """Return what to call once a job's last status is stored."""
+
+        def note() -> None:
+            self._log.write(
+                LogEvent.STATUS_STORED,
+                job=state.job.job_id,
+                status=state.status,
+            )
+            if stored is not None:
+                stored()
+
+        return note
+
     def note_published(self, job_id: str, status: JobStatus) -> None:
         """Take in which status of a job its row tells."""
         self._published[job_id] = status
--- a/hickorywing/logevents.py
+++ b/hickorywing/logevents.py
@@ -26,6 +26,7 @@
     JOB_SUBMITTED = "job submitted"
     CANCEL_ASKED = "cancel asked"
     STATUS_NOT_KNOWN = "status not known"
+    STATUS_SHOWN = "status shown"
     NO_SUCH_JOB = "no such job"
 
     # The configuration changes.
@@ -76,6 +77,7 @@
     JOB_UNREADABLE = "job unreadable"
     JOB_CANCELLED = "job cancelled"
     JOB_STATUS = "job status"
+    STATUS_STORED = "status stored"
     JOBS_FORGOTTEN = "jobs forgotten"
 
     # A run is placed, stopped or ends.
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -16,6 +16,7 @@
 from hickorywing.policy.poolmodel import Step
 
 __all__ = [
+    "FINAL",
     "Ending",
     "JobState",
     "JobStatus",
