Account for late jobs by phase, and for what urgent work stopped

No command said why a job was late: an operator saw what one job went through, and what was thrown away by cause, but not where the time of all late jobs went.

--- /dev/null
+++ b/hickorywing/lateness.py
@@ -0,0 +1,512 @@
+"""Account for jobs that were late, phase by phase, from the logs.
+
+A job's time runs from the first request of its caller to the answer that
+shows it as completed. It is split along the chain of runs that ended last, so
+that the phases of a job add up to its time. Beside each phase stands the least
+that it could have taken; the rest is what a better decision might save.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+import statistics
+
+from hickorywing.errors import UserError
+from hickorywing.logclocks import correct_clocks
+from hickorywing.logevents import LogEvent
+from hickorywing.loglines import LogLine
+from hickorywing.loglines import read_line
+from hickorywing.waste import name_cause
+
+__all__ = [
+    "LateJob",
+    "Phase",
+    "account_late",
+    "draw_late",
+    "format_late",
+    "sum_phases",
+]
+
+REFUSED = "refused"
+ACCEPTING = "accepting"
+NO_CONTROLLER = "no controller decides"
+WAITING_ROOM = "waiting for room"
+WAITING_STOPS = "waiting for stops"
+STARTING = "starting"
+LOST_RUN = "lost run"
+CLOSING = "closing a lost run"
+RUNNING = "running"
+SLOW = "running longer than declared"
+STORING = "ended, not stored"
+SHOWING = "stored, not shown"
+
+# Declared run times are off, so a run counts as slow only beyond this.
+SLOW_FACTOR = 1.5
+
+
+@dataclass(slots=True)
+class Phase:
+    """One span of a job's time, in seconds, and the least it could take."""
+
+    name: str
+    took_s: float
+    least_s: float = 0.0
+
+
+@dataclass(slots=True)
+class LateJob:
+    """A job that took longer than its objective.
+
+    ``total_s`` counts to the end of the logs where the job was never shown
+    as completed.
+    """
+
+    job_id: str
+    priority: int
+    began_s: float
+    total_s: float
+    objective_s: float
+    completed: bool
+    phases: list[Phase] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a unit, as far as the logs tell; moments in seconds."""
+
+    step: int
+    first: int
+    number: int
+    placed_s: float
+    waited_s: float = 0.0
+    started_s: float | None = None
+    broke_s: float | None = None
+    ended_s: float | None = None
+    done: bool = False
+    cause: str = ""
+    estimate_s: float = 0.0
+
+
+@dataclass(slots=True)
+class JobStory:
+    """What the logs tell of one job; moments in seconds."""
+
+    job_id: str
+    first_seen_s: float = float("inf")
+    refusals: dict[str, int] = field(default_factory=dict)
+    accepted_s: float | None = None
+    accept_took_s: float = 0.0
+    priority: int = 0
+    stretch: float = 0.0
+    latency_target_s: float = 0.0
+    cancelled: bool = False
+    completed_s: float | None = None
+    stored_s: float | None = None
+    shown_s: float | None = None
+    claims: list[float] = field(default_factory=list)
+    runs: dict[tuple[int, int, int], Run] = field(default_factory=dict)
+
+
+def account_late(texts: Iterable[str]) -> list[LateJob]:
+    """Return the accepted jobs that were late, the latest first.
+
+    Jobs that were cancelled, or that no caller was told the end of because
+    they failed, are left out.
+    """
+    lines = [line for line in map(read_line, texts) if line is not None]
+    lines, _ = correct_clocks(lines)
+    lines.sort(key=lambda line: line.at)
+    reader = StoryReader()
+    for line in lines:
+        reader.take(line)
+    late = [
+        found
+        for story in reader.stories.values()
+        if (found := judge(story, reader)) is not None
+    ]
+    return sorted(late, key=lambda job: -job.total_s)
+
+
+class StoryReader:
+    """Gathers what each job's lines tell, in order of time."""
+
+    def __init__(self) -> None:
+        self.stories: dict[str, JobStory] = {}
+        self.last_s = 0.0
+        # Spans in which no controller decided.
+        self.undecided: list[tuple[float, float]] = []
+        self._stops_s: list[float] = []
+        self._displaced_s: dict[tuple[str, int, int, int], float] = {}
+        self._held: dict[str, float] = {}
+        self._holder = ""
+        self._acted_s: dict[str, float] = {}
+        self._takes = {
+            LogEvent.REFUSED: self._take_refused,
+            LogEvent.JOB_SUBMITTED: self._take_submitted,
+            LogEvent.JOB_CANCELLED: self._take_cancelled,
+            LogEvent.RUN_PLACED: self._take_placed,
+            LogEvent.RUN_PREEMPTED: self._take_preempted,
+            LogEvent.START_ANSWERED: self._take_started,
+            LogEvent.RUN_ENDED: self._take_ended,
+            LogEvent.JOB_STATUS: self._take_status,
+            LogEvent.STATUS_STORED: self._take_stored,
+            LogEvent.STATUS_SHOWN: self._take_shown,
+            LogEvent.ROLE_TAKEN: self._take_role,
+            LogEvent.PLANNING_HELD: self._take_held,
+            LogEvent.PLANNING_RESUMED: self._take_resumed,
+        }
+
+    def usual_stop_s(self) -> float:
+        """Return how long a stop usually took from its decision on."""
+        return statistics.median(self._stops_s) if self._stops_s else 0.0
+
+    def take(self, line: LogLine) -> None:
+        """Take in the next line."""
+        at_s = line.at.timestamp()
+        self.last_s = max(self.last_s, at_s)
+        if line.facts.get("role") == "entry" and line.event in (
+            LogEvent.RUN_PLACED,
+            LogEvent.RUN_ENDED,
+            LogEvent.START_ANSWERED,
+            LogEvent.JOB_SEEN,
+        ):
+            self._acted_s[line.process] = at_s
+        take = self._takes.get(line.event)
+        if take is not None:
+            take(line, at_s)
+
+    def _story(self, job_id: str) -> JobStory:
+        return self.stories.setdefault(job_id, JobStory(job_id))
+
+    def _take_refused(self, line: LogLine, at_s: float) -> None:
+        job_id = line.facts.get("job", "")
+        if not job_id:
+            return
+        story = self._story(job_id)
+        if story.accepted_s is None:
+            story.first_seen_s = min(story.first_seen_s, at_s)
+            reason = line.facts.get("reason", "")
+            story.refusals[reason] = story.refusals.get(reason, 0) + 1
+
+    def _take_submitted(self, line: LogLine, at_s: float) -> None:
+        facts = line.facts
+        story = self._story(facts.get("job", ""))
+        took_s = facts.get("took_s", 0.0)
+        story.first_seen_s = min(story.first_seen_s, at_s - took_s)
+        story.priority = facts.get("priority", 0)
+        story.stretch = facts.get("stretch", 0.0)
+        story.latency_target_s = facts.get("latency_target_s", 0.0)
+        if story.accepted_s is not None:
+            return
+        if facts.get("outcome") == "done":
+            story.accepted_s = at_s
+            story.accept_took_s = took_s
+        else:
+            reason = f"store {facts.get('store', '')}"
+            story.refusals[reason] = story.refusals.get(reason, 0) + 1
+
+    def _take_cancelled(self, line: LogLine, at_s: float) -> None:
+        self._story(line.facts.get("job", "")).cancelled = True
+
+    def _take_placed(self, line: LogLine, at_s: float) -> None:
+        facts = line.facts
+        key = (facts["step"], facts["first"], facts["run"])
+        run = Run(*key, at_s, facts.get("waited_s", 0.0))
+        self._story(facts["job"]).runs[key] = run
+
+    def _take_preempted(self, line: LogLine, at_s: float) -> None:
+        facts = line.facts
+        self._story(facts.get("gives_way_to", "")).claims.append(at_s)
+        run = (facts["job"], facts["step"], facts["first"], facts["run"])
+        self._displaced_s[run] = at_s
+
+    def _note_stop(self, job_id: str, run: Run, at_s: float) -> None:
+        """Take in how long a run that gave way was in being stopped."""
+        key = (job_id, run.step, run.first, run.number)
+        asked_s = self._displaced_s.pop(key, None)
+        if asked_s is not None:
+            self._stops_s.append(at_s - asked_s)
+
+    def _find_run(self, line: LogLine) -> Run | None:
+        """Return the run of the unit that a task's line is about."""
+        parts = str(line.facts.get("task", "")).split(".")
+        story = self.stories.get(parts[0])
+        if story is None or len(parts) != 4:
+            return None
+        step, index = int(parts[2]), int(parts[3])
+        number = line.facts.get("run", 0)
+        single = story.runs.get((step, index, number))
+        return single or story.runs.get((step, 0, number))
+
+    def _take_started(self, line: LogLine, at_s: float) -> None:
+        run = self._find_run(line)
+        if run is not None and line.facts.get("outcome") == "ok":
+            run.started_s = at_s
+
+    def _take_ended(self, line: LogLine, at_s: float) -> None:
+        run = self._find_run(line)
+        if run is None:
+            return
+        facts = line.facts
+        self._note_stop(str(facts["task"]).split(".")[0], run, at_s)
+        run.estimate_s = facts.get("estimate_s", 0.0)
+        if facts.get("how") == "done":
+            run.done = True
+            run.ended_s = run.ended_s or at_s
+            return
+        if run.broke_s is None:
+            run.broke_s = at_s
+            how, stopping = facts.get("how", ""), facts.get("stopping", "")
+            own = how == "failed" and not stopping
+            run.cause = "failed" if own else name_cause(how, stopping)
+        elif facts.get("how") in ("lost", "lapsed") and "member" in run.cause:
+            # The first member to end is rarely the one that broke the gang.
+            run.cause = name_cause(facts["how"], "")
+        run.ended_s = at_s
+
+    def _take_status(self, line: LogLine, at_s: float) -> None:
+        if line.facts.get("status") == "completed":
+            story = self._story(line.facts["job"])
+            story.completed_s = story.completed_s or at_s
+
+    def _take_stored(self, line: LogLine, at_s: float) -> None:
+        if line.facts.get("status") == "completed":
+            story = self._story(line.facts["job"])
+            story.stored_s = story.stored_s or at_s
+
+    def _take_shown(self, line: LogLine, at_s: float) -> None:
+        if line.facts.get("status") == "completed":
+            story = self._story(line.facts["job"])
+            story.shown_s = story.shown_s or at_s
+
+    def _take_role(self, line: LogLine, at_s: float) -> None:
+        acted_s = self._acted_s.get(self._holder)
+        if acted_s is not None:
+            self.undecided.append((acted_s, at_s))
+        self._holder = line.process
+
+    def _take_held(self, line: LogLine, at_s: float) -> None:
+        self._held[line.process] = at_s
+
+    def _take_resumed(self, line: LogLine, at_s: float) -> None:
+        began_s = self._held.pop(line.process, None)
+        if began_s is not None:
+            self.undecided.append((began_s, at_s))
+
+
+def judge(story: JobStory, reader: StoryReader) -> LateJob | None:
+    """Return a job's account if it was late."""
+    if story.accepted_s is None or story.cancelled:
+        return None
+    end_s = story.shown_s or reader.last_s
+    chain = list(trace_chain(story))
+    work_s = sum(estimate_work_s(run) for run in chain if run.done)
+    if not work_s and story.shown_s is not None:
+        return None
+    objective_s = story.stretch * work_s + story.latency_target_s
+    total_s = end_s - story.first_seen_s
+    if total_s <= objective_s:
+        return None
+    job = LateJob(
+        story.job_id,
+        story.priority,
+        story.first_seen_s,
+        total_s,
+        objective_s,
+        story.shown_s is not None,
+    )
+    job.phases = list(split_time(story, chain, end_s, reader))
+    return job
+
+
+def estimate_work_s(run: Run) -> float:
+    """Return what a run would take on a sound worker, as far as is known."""
+    took_s = (run.ended_s or run.placed_s) - run.placed_s
+    if run.estimate_s <= 0:
+        return took_s
+    return min(took_s, SLOW_FACTOR * run.estimate_s)
+
+
+def trace_chain(story: JobStory) -> Iterator[Run]:
+    """Yield the runs that the job waited for, the last one first.
+
+    Before a run came the last one of the same unit, or what ended last before
+    the unit's turn had come.
+    """
+    known = [run for run in story.runs.values() if run.ended_s is not None]
+    done = [run for run in known if run.done]
+    if not done:
+        yield from sorted(known, key=lambda run: -run.placed_s)[:1]
+        return
+    run = max(done, key=lambda item: item.ended_s)
+    while True:
+        yield run
+        before = story.runs.get((run.step, run.first, run.number - 1))
+        if before is None or before.ended_s is None:
+            ready_s = run.placed_s - run.waited_s
+            earlier = [
+                item
+                for item in done
+                if item.step != run.step and item.ended_s <= ready_s + 0.05
+            ]
+            if not earlier:
+                return
+            before = max(earlier, key=lambda item: item.ended_s)
+        if before.placed_s >= run.placed_s:
+            return
+        run = before
+
+
+def split_time(
+    story: JobStory,
+    chain: list[Run],
+    end_s: float,
+    reader: StoryReader,
+) -> Iterator[Phase]:
+    """Yield the phases of a job, which add up to its time."""
+    at_s = story.accepted_s
+    before_s = at_s - story.first_seen_s
+    if story.refusals:
+        reason = max(story.refusals, key=story.refusals.get)
+        yield Phase(f"{REFUSED}: {reason}", before_s)
+    else:
+        yield Phase(ACCEPTING, before_s, before_s)
+    for run in reversed(chain):
+        yield from split_wait(story, at_s, run.placed_s, reader)
+        at_s = max(at_s, run.placed_s)
+        if run.done:
+            started_s = min(run.started_s or at_s, run.ended_s)
+            yield Phase(STARTING, started_s - at_s, started_s - at_s)
+            worked_s = run.ended_s - started_s
+            usual_s = min(worked_s, SLOW_FACTOR * run.estimate_s or worked_s)
+            yield Phase(RUNNING, usual_s, usual_s)
+            yield Phase(SLOW, worked_s - usual_s)
+        else:
+            broke_s = min(run.broke_s or run.ended_s, run.ended_s)
+            yield Phase(f"{LOST_RUN}: {run.cause}", broke_s - at_s)
+            yield Phase(CLOSING, run.ended_s - broke_s)
+        at_s = run.ended_s
+    if story.stored_s is not None:
+        stored_s = max(at_s, story.stored_s)
+        yield Phase(STORING, stored_s - at_s)
+        at_s = stored_s
+        yield Phase(SHOWING, end_s - at_s)
+    else:
+        name = STORING if story.completed_s else "not completed"
+        yield Phase(name, end_s - at_s)
+
+
+def split_wait(
+    story: JobStory,
+    begin_s: float,
+    end_s: float,
+    reader: StoryReader,
+) -> Iterator[Phase]:
+    """Split a wait for a place by what kept it waiting."""
+    if end_s <= begin_s:
+        return
+    stops = [at_s for at_s in story.claims if begin_s <= at_s <= end_s]
+    asked_s = min(stops, default=end_s)
+    for from_s, to_s, name in (
+        (begin_s, asked_s, WAITING_ROOM),
+        (asked_s, end_s, WAITING_STOPS),
+    ):
+        idle_s = measure_overlap(from_s, to_s, reader.undecided)
+        yield Phase(NO_CONTROLLER, idle_s)
+        took_s = max(0.0, to_s - from_s - idle_s)
+        least_s = 0.0
+        if name == WAITING_STOPS:
+            least_s = min(took_s, reader.usual_stop_s())
+        yield Phase(name, took_s, least_s)
+
+
+def measure_overlap(
+    begin_s: float, end_s: float, spans: list[tuple[float, float]]
+) -> float:
+    """Return for how long a time lies within any of the spans."""
+    covered_s = 0.0
+    reached_s = begin_s
+    for from_s, to_s in sorted(spans):
+        from_s, to_s = max(from_s, reached_s), min(to_s, end_s)
+        if to_s > from_s:
+            covered_s += to_s - from_s
+            reached_s = to_s
+    return covered_s
+
+
+def sum_phases(late: Iterable[LateJob]) -> dict[str, tuple[int, float, float]]:
+    """Return for each phase its jobs, seconds and least seconds.
+
+    The phase with the most to gain comes first.
+    """
+    sums: dict[str, tuple[int, float, float]] = {}
+    for job in late:
+        of_job: dict[str, tuple[float, float]] = {}
+        for phase in job.phases:
+            took_s, least_s = of_job.get(phase.name, (0.0, 0.0))
+            of_job[phase.name] = (
+                took_s + phase.took_s,
+                least_s + phase.least_s,
+            )
+        for name, (took_s, least_s) in of_job.items():
+            if took_s < 0.005:
+                continue
+            jobs, all_s, all_least_s = sums.get(name, (0, 0.0, 0.0))
+            sums[name] = (jobs + 1, all_s + took_s, all_least_s + least_s)
+    order = sorted(sums.items(), key=lambda item: item[1][2] - item[1][1])
+    return dict(order)
+
+
+def format_late(late: list[LateJob]) -> list[str]:
+    """Return the account as lines of text: by phase, then by job."""
+    sums = sum_phases(late)
+    lines = [f"{'phase':40} {'jobs':>5} {'s':>8} {'least':>8} {'over':>8}"]
+    lines.extend(
+        f"{name:40} {jobs:5} {took_s:8.1f} {least_s:8.1f}"
+        f" {took_s - least_s:8.1f}"
+        for name, (jobs, took_s, least_s) in sums.items()
+    )
+    took_s = sum(item[1] for item in sums.values())
+    least_s = sum(item[2] for item in sums.values())
+    lines.append(
+        f"{'all':40} {len(late):5} {took_s:8.1f} {least_s:8.1f}"
+        f" {took_s - least_s:8.1f}"
+    )
+    for job in late:
+        phases = ", ".join(
+            f"{phase.name} {phase.took_s:.2f}"
+            for phase in job.phases
+            if phase.took_s >= 0.05
+        )
+        end = "" if job.completed else " (never shown as completed)"
+        lines.append(
+            f"{job.job_id} priority {job.priority} took {job.total_s:.2f} s,"
+            f" objective {job.objective_s:.2f} s{end}: {phases}"
+        )
+    return lines
+
+
+def draw_late(late: list[LateJob], file: Path) -> None:
+    """Draw each phase with its least and the rest, as a PNG.
+
+    Raises ``UserError`` if the library for it isn't there.
+    """
+    try:
+        # Only this command needs the library, which takes a second to load.
+        from matplotlib.figure import Figure  # noqa: PLC0415
+    except ImportError as error:
+        raise UserError("drawing needs matplotlib (extra: plots)") from error
+    sums = sum_phases(late)
+    figure = Figure(figsize=(9, 1 + 0.4 * max(1, len(sums))))
+    axes = figure.add_subplot()
+    names = list(sums)[::-1]
+    least = [sums[name][2] for name in names]
+    over = [sums[name][1] - sums[name][2] for name in names]
+    axes.barh(names, least, color="tab:gray", label="least possible")
+    axes.barh(names, over, left=least, color="tab:red", label="over")
+    axes.set_xlabel("seconds of late jobs")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(file)
--- a/hickorywing/ui.py
+++ b/hickorywing/ui.py
@@ -31,6 +31,8 @@
 from hickorywing.findings import FindingsError
 from hickorywing.rules import hash_token
 from hickorywing.uilogs import explain_logs
+from hickorywing.uilogs import show_claims
+from hickorywing.uilogs import show_late
 from hickorywing.uilogs import show_log_timeline
 from hickorywing.uilogs import show_waste
 from hickorywing.uitables import print_change
@@ -221,18 +223,23 @@
 class Explain:
     """Give an account of a job from the logs of all processes.
 
-    With ``--waste`` the account is of the work that was thrown away; all
-    arguments are log files then.
+    With ``--late``, ``--claims`` or ``--waste`` the account is of all jobs
+    that were late, of what urgent work stopped, or of the work that was
+    thrown away; all arguments are log files then.
     """
 
-    job: Annotated[
-        str, cappa.Arg(help="Id of the job; a log file with --waste.")
-    ] = ""
+    job: Annotated[str, cappa.Arg(help="Id of the job, or a log file.")] = ""
+    late: Annotated[
+        bool, cappa.Arg(long="--late", help="Account for late jobs by phase.")
+    ] = False
+    claims: Annotated[
+        bool, cappa.Arg(long="--claims", help="Account for preemptions.")
+    ] = False
     waste: Annotated[
         bool, cappa.Arg(long="--waste", help="Account for lost work.")
     ] = False
     png: Annotated[
-        str, cappa.Arg(long="--png", help="Draw lost work into a file.")
+        str, cappa.Arg(long="--png", help="Draw --late or --waste to a file.")
     ] = ""
     logs: Annotated[
         list[Path], cappa.Arg(help="Log files; standard input for none.")
@@ -426,6 +433,21 @@
     print("\n".join(lines), file=sys.stderr)
 
 
+def explain(command: Explain, as_json: bool) -> None:
+    """Print the account that the options of ``explain`` ask for."""
+    names = [command.job, *command.logs] if command.job else ["-"]
+    if command.late:
+        show_late(names, as_json, command.png)
+    elif command.claims:
+        show_claims(names, as_json)
+    elif command.waste:
+        show_waste(names, as_json, command.png)
+    elif command.job:
+        explain_logs(command.logs, command.job, as_json)
+    else:
+        raise UserError("name a job, or say --late, --claims or --waste")
+
+
 def run_command(options: Hickorywing) -> ExitCode:
     """Run one command and return its exit code."""
     command = options.command
@@ -433,13 +455,7 @@
         print(hash_token(command.token))
         return ExitCode.DONE
     if isinstance(command, Explain):
-        if command.waste:
-            names = [command.job, *command.logs] if command.job else ["-"]
-            show_waste(names, options.json, command.png)
-            return ExitCode.DONE
-        if not command.job:
-            raise UserError("name a job, or say --waste")
-        explain_logs(command.logs, command.job, options.json)
+        explain(command, options.json)
         return ExitCode.DONE
     if isinstance(command, Timeline) and command.logs:
         show_log_timeline(
--- a/hickorywing/uilogs.py
+++ b/hickorywing/uilogs.py
@@ -7,14 +7,25 @@
 
 from hickorywing.explain import explain_job
 from hickorywing.explain import format_account
+from hickorywing.lateness import account_late
+from hickorywing.lateness import draw_late
+from hickorywing.lateness import format_late
 from hickorywing.loglines import format_line
 from hickorywing.logtimeline import draw_timeline
 from hickorywing.logtimeline import read_timeline
+from hickorywing.preemptions import account_claims
+from hickorywing.preemptions import format_claims
 from hickorywing.waste import account_waste
 from hickorywing.waste import draw_waste
 from hickorywing.waste import format_waste
 
-__all__ = ["explain_logs", "show_log_timeline", "show_waste"]
+__all__ = [
+    "explain_logs",
+    "show_claims",
+    "show_late",
+    "show_log_timeline",
+    "show_waste",
+]
 
 
 def show_log_timeline(
@@ -58,3 +69,23 @@
         print(msgspec.json.encode(found).decode())
     else:
         print("\n".join(format_waste(found)))
+
+
+def show_late(names: list[str], as_json: bool, png: str) -> None:
+    """Print why jobs were late by phase, and draw it if a file is named."""
+    late = account_late(read_logs(names))
+    if png:
+        draw_late(late, Path(png))
+    if as_json:
+        print(msgspec.json.encode(late).decode())
+    else:
+        print("\n".join(format_late(late)))
+
+
+def show_claims(names: list[str], as_json: bool) -> None:
+    """Print what urgent work stopped, claim by claim."""
+    claims = account_claims(read_logs(names))
+    if as_json:
+        print(msgspec.json.encode(claims).decode())
+    else:
+        print("\n".join(format_claims(claims)))
