Keep the room that an urgent gang has claimed from plan to plan

Callers of urgent work on full pools waited for two to four rounds of stops where one would have done. Each plan chose the room of a waiting gang anew, as plans start from the free room and from what stops will free, but not for whom. What one plan had freed, the next gave to a gang that came earlier in order, or began other work there that it then stopped as well.

A claim is now made once, with a worker for each task, is part of the state that plans start from, and is kept until its unit is placed. It is given up only for a cause that is logged: a worker is lost, the room is gone, awaited work hasn't ended, covered work needs it, or the unit fits elsewhere at once.

--- a/hickorywing/logevents.py
+++ b/hickorywing/logevents.py
@@ -88,6 +88,7 @@
     START_ANSWERED = "start answered"
     STOP_ANSWERED = "stop answered"
     RUN_PREEMPTED = "run preempted"
+    CLAIM_REVISED = "claim revised"
     RUN_MOVED = "run moved"
     RUN_STALLED = "run stalled"
     RUN_ENDED = "run ended"
--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -2,19 +2,26 @@
 
 Answers the load at which workers are full: urgent units first take free
 room, then room that is being freed, and at last stop the running work that
-loses least. Room that a more urgent unit waits for is not given to others.
+loses least. Room that an urgent unit waits for is claimed for it, and is not
+given to others in this plan or a later one.
 Best fit keeps whole workers free for tasks that ask for many accelerators.
 """
 
 from collections import Counter
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 
+from hickorywing.policy.poolclaims import Claim
+from hickorywing.policy.poolclaims import ClaimFault
+from hickorywing.policy.poolclaims import find_fault
+from hickorywing.policy.poolclaims import UnitKey
 from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolmodel import WorkerFacts
 from hickorywing.policy.poolpreemption import choose_victims
+from hickorywing.policy.poolpreemption import held_on
 from hickorywing.policy.poolpreemption import release
 from hickorywing.policy.poolpreemption import RunningUnit
 from hickorywing.policy.poolpreemption import Sacrifice
@@ -48,10 +55,16 @@
 
 @dataclass(slots=True)
 class Plan:
-    """What to start now and what to stop for whom."""
+    """What to start now and what to stop for whom.
+
+    ``claims`` is the room that waiting units keep up to the next plan,
+    ``revised`` the units that have lost a claim, and why.
+    """
 
     starts: list[Assignment] = field(default_factory=list)
     stops: list[tuple[Unit, Unit]] = field(default_factory=list)
+    claims: dict[UnitKey, Claim] = field(default_factory=dict)
+    revised: list[tuple[Unit, ClaimFault]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -59,8 +72,9 @@
     """The state that a plan is made from.
 
     ``free`` is the room of each usable worker now, ``coming`` what members
-    that are being stopped will free there. ``suspects`` have failed of late
-    and come after all others; ``proven`` have completed something of late.
+    that are being stopped will free there, ``claims`` what the last plan has
+    kept. ``suspects`` have failed of late and come after all others;
+    ``proven`` have completed something of late.
     """
 
     workers: dict[str, WorkerFacts]
@@ -71,6 +85,7 @@
     now_s: float
     suspects: frozenset[str] = frozenset()
     proven: frozenset[str] = frozenset()
+    claims: Mapping[UnitKey, Claim] = field(default_factory=dict)
 
 
 class Planner:
@@ -86,6 +101,11 @@
         # Whether more may be free soon than now.
         self._is_freeing = bool(state.coming)
         self._stopped: set[tuple] = set()
+        self._claimants: dict[UnitKey, WaitingUnit] = {}
+        # Runs that claims count on; each is counted on by one of them.
+        self._awaited: set[UnitKey] = {
+            key for claim in state.claims.values() for key, _ in claim.awaited
+        }
         self._plan = Plan()
         self._budget = ReservationBudget(state.workers, state.free)
         self._holding_racks: dict[Step, frozenset[str]] = {}
@@ -97,14 +117,101 @@
 
     def make_plan(self) -> Plan:
         """Return what to start and to stop."""
-        for waiting in sorted(
+        ordered = sorted(
             self._state.waiting, key=lambda item: (item.priority, item.order)
-        ):
+        )
+        for waiting in ordered:
+            self._keep_claim(waiting)
+        for waiting in ordered:
             self._serve(waiting)
         return self._plan
 
+    def _keep_claim(self, waiting: WaitingUnit) -> None:
+        """Keep the room that a unit has claimed in an earlier plan."""
+        unit = waiting.unit
+        claim = self._state.claims.get(unit.key)
+        if claim is None:
+            return
+        fault = find_fault(
+            claim,
+            waiting,
+            self._soon,
+            self._state.running,
+            self._state.now_s,
+        )
+        if fault is not None:
+            self._plan.revised.append((unit, fault))
+            return
+        self._claim(waiting, claim)
+
+    def _claim(self, waiting: WaitingUnit, claim: Claim) -> None:
+        """Keep room for a unit up to the next plan."""
+        self._plan.claims[waiting.unit.key] = claim
+        self._claimants[waiting.unit.key] = waiting
+        self._take(self._free, waiting.step, claim.workers)
+        self._take(self._soon, waiting.step, claim.workers)
+        self._is_freeing = True
+
+    def _give_back(self, waiting: WaitingUnit) -> Claim:
+        """Return the room of a unit's claim to all, and the claim."""
+        del self._claimants[waiting.unit.key]
+        claim = self._plan.claims.pop(waiting.unit.key)
+        need = count_room(waiting.step)
+        for worker in claim.workers:
+            self._free[worker] = self._free[worker] + need
+            self._soon[worker] = self._soon[worker] + need
+        return claim
+
+    def _serve_claimant(self, waiting: WaitingUnit) -> None:
+        """Start a unit with a claim if that is possible now."""
+        claim = self._give_back(waiting)
+        if self._has_room(waiting.step, claim.workers):
+            self._start(waiting, claim.workers)
+            return
+        workers = self._place(waiting, self._free)
+        if workers is None:
+            self._claim(waiting, claim)
+            return
+        self._plan.revised.append((waiting.unit, ClaimFault.ROOM_ELSEWHERE))
+        self._start(waiting, workers)
+
+    def _has_room(self, step: Step, workers: Iterable[str]) -> bool:
+        """Tell whether tasks of a step fit on these workers now."""
+        need = count_room(step)
+        return all(
+            Resources(
+                need.cores_milli * count,
+                need.memory_mb * count,
+                need.accelerators * count,
+            ).fits_in(self._free[worker])
+            for worker, count in Counter(workers).items()
+        )
+
+    def _start(self, waiting: WaitingUnit, workers: tuple[str, ...]) -> None:
+        self._take(self._free, waiting.step, workers)
+        self._take(self._soon, waiting.step, workers)
+        self._plan.starts.append(Assignment(waiting.unit, workers))
+        self._spread.setdefault(waiting.unit.step_key, Counter()).update(
+            workers
+        )
+
+    def _yield_claims(self, priority: int) -> bool:
+        """Give back what less urgent units have claimed; tell if any had."""
+        yielding = [
+            waiting
+            for waiting in self._claimants.values()
+            if waiting.priority > priority
+        ]
+        for waiting in yielding:
+            self._give_back(waiting)
+            self._plan.revised.append((waiting.unit, ClaimFault.YIELDED))
+        return bool(yielding)
+
     def _serve(self, waiting: WaitingUnit) -> None:
         unit = waiting.unit
+        if unit.key in self._claimants:
+            self._serve_claimant(waiting)
+            return
         patient = self._state.now_s - unit.waiting_since_s < DATA_WAIT_S
         kind = (unit.step_key, unit.failures > 0, patient)
         if kind in self._unplaceable:
@@ -116,25 +223,32 @@
         """Start a unit or keep room for it; tell whether there was any."""
         workers = self._place(waiting, self._free)
         if workers is not None:
-            self._take(self._free, waiting.step, workers)
-            self._take(self._soon, waiting.step, workers)
-            self._plan.starts.append(Assignment(waiting.unit, workers))
-            self._spread.setdefault(waiting.unit.step_key, Counter()).update(
-                workers
-            )
+            self._start(waiting, workers)
             return True
-        if self._is_freeing:
-            workers = self._place(waiting, self._soon)
-        if workers is None and waiting.priority <= 0:
-            workers = self._await_ends(waiting) or self._preempt(waiting)
         if waiting.priority > 0:
             workers = self._reserve(waiting)
-        if workers is not None:
-            # Keeps the room for this unit until it is free.
-            self._take(self._free, waiting.step, workers)
-            self._take(self._soon, waiting.step, workers)
-            self._is_freeing = True
-        return workers is not None
+            if workers is not None:
+                self._take(self._free, waiting.step, workers)
+                self._take(self._soon, waiting.step, workers)
+            return workers is not None
+        claim = self._find_claim(waiting)
+        if claim is None and self._yield_claims(waiting.priority):
+            claim = self._find_claim(waiting)
+        if claim is not None:
+            self._claim(waiting, claim)
+        return claim is not None
+
+    def _find_claim(self, waiting: WaitingUnit) -> Claim | None:
+        """Return what to keep for an urgent unit that can't start now."""
+        if self._is_freeing:
+            workers = self._place(waiting, self._soon)
+            if workers is not None:
+                return Claim(workers)
+        claim = self._await_ends(waiting)
+        if claim is not None:
+            return claim
+        workers = self._preempt(waiting)
+        return None if workers is None else Claim(workers)
 
     def _take(
         self,
@@ -232,15 +346,33 @@
             return frozenset()
         return waiting.avoid
 
-    def _await_ends(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
+    def _await_ends(self, waiting: WaitingUnit) -> Claim | None:
         """Return where the unit fits once work that is about to end has."""
         waited_s = self._state.now_s - waiting.unit.waiting_since_s
         left_s = END_WAIT_S - waited_s
+        ending = [
+            item
+            for item in self._state.running
+            if item.left_s <= left_s
+            and not item.unit.stopping
+            and item.unit.key not in self._awaited
+        ]
+        if not ending:
+            return None
         rooms = dict(self._soon)
-        for item in self._state.running:
-            if item.left_s <= left_s and not item.unit.stopping:
-                release(rooms, item)
-        return self._place(waiting, rooms)
+        for item in ending:
+            release(rooms, item)
+        workers = self._place(waiting, rooms)
+        if workers is None:
+            return None
+        awaited = {
+            item.unit.key: item.unit.run
+            for item in ending
+            if any(held_on(item, worker) != Resources() for worker in workers)
+        }
+        self._awaited |= awaited.keys()
+        until_s = waiting.unit.waiting_since_s + END_WAIT_S
+        return Claim(workers, frozenset(awaited.items()), until_s)
 
     def _preempt(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
         """Stop the work that loses least; return where the unit then fits."""
--- a/hickorywing/policy/poolpreemption.py
+++ b/hickorywing/policy/poolpreemption.py
@@ -20,6 +20,7 @@
     "RunningUnit",
     "Sacrifice",
     "choose_victims",
+    "held_on",
     "price_cores",
     "release",
 ]
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -225,6 +225,12 @@
             self._place(assignment)
         for victim, unit in plan.stops:
             self._preempt(victim, unit)
+        for unit, fault in plan.revised:
+            self._metrics.count("claims_revised", reason=fault)
+            self._log.write(
+                LogEvent.CLAIM_REVISED, job=unit.job_id, step=unit.step,
+                first=unit.first, reason=fault,
+            )  # fmt: skip
 
     def _place(self, assignment: Assignment) -> None:
         unit = assignment.unit
--- a/hickorywing/runplanning.py
+++ b/hickorywing/runplanning.py
@@ -9,6 +9,8 @@
 from hickorywing.agentlink import AgentLink
 from hickorywing.clock import now_s
 from hickorywing.openmembers import OpenMember
+from hickorywing.policy.poolclaims import Claim
+from hickorywing.policy.poolclaims import UnitKey
 from hickorywing.policy.poolguarantees import find_covered
 from hickorywing.policy.poolguarantees import rank_priority
 from hickorywing.policy.poolhealth import WorkerHealth
@@ -50,11 +52,23 @@
         self._health = health
         self._orders = orders
         self._terms = terms
+        self._claims: dict[UnitKey, Claim] = {}
 
     def make_plan(
         self, states: Collection[JobState], members: Iterable[OpenMember]
     ) -> Plan:
-        """Return what to start and to stop among the live jobs."""
+        """Return what to start and to stop among the live jobs.
+
+        The claims of a plan are kept for the next one. A successor begins
+        without any, and finds the room that is being freed.
+        """
+        plan = self._plan(states, members)
+        self._claims = plan.claims
+        return plan
+
+    def _plan(
+        self, states: Collection[JobState], members: Iterable[OpenMember]
+    ) -> Plan:
         covered = find_covered(states, self._view.guarantees())
         waiting = list(self._list_waiting(states, covered))
         if not waiting:
@@ -70,6 +84,7 @@
                 now_s(),
                 self._select(room, self._health.is_suspect),
                 self._select(room, self._health.is_proven),
+                self._claims,
             )
         ).make_plan()
 
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -61,12 +61,17 @@
 class Pool:
     """Workers and jobs, planned without any process."""
 
-    def __init__(self, workers: int, rack_size: int = 3) -> None:
+    def __init__(
+        self,
+        workers: int,
+        rack_size: int = 3,
+        capacity: Resources = CAPACITY,
+    ) -> None:
         self.facts = {
             f"w{number}": WorkerFacts(
                 f"w{number}",
                 "z",
-                CAPACITY,
+                capacity,
                 ("a", f"r{number // rack_size}"),
             )
             for number in range(workers)
@@ -75,6 +80,7 @@
         self.guarantees: dict[str, int] = {}
         self.suspects: set[str] = set()
         self.proven: set[str] = set()
+        self.claims: dict = {}
         self.now_s = 100.0
 
     def add(self, job: PoolJob) -> JobState:
@@ -128,6 +134,7 @@
                 self.now_s,
                 frozenset(self.suspects),
                 frozenset(self.proven),
+                self.claims,
             )
         ).make_plan()
 
@@ -138,4 +145,5 @@
             start.unit.place(list(start.workers), self.now_s)
         for victim, _ in plan.stops:
             victim.stopping = "preempted"
+        self.claims = plan.claims
         return plan
--- /dev/null
+++ b/tests/test_poolclaims.py
@@ -0,0 +1,166 @@
+"""Room that urgent units wait for is kept from plan to plan."""
+
+import random
+
+from poolhelpers import gpu_step
+from poolhelpers import make_job
+from poolhelpers import Pool
+from poolreplay import Replay
+
+from hickorywing.policy.poolclaims import ClaimFault
+from hickorywing.policy.poolmodel import Resources
+from hickorywing.policy.poolmodel import Step
+from hickorywing.policy.poolruns import Ending
+
+SMALL = Step(count=120, resources=Resources(5600, 8200, 1))
+
+
+def gang(rng: random.Random, cores: int, memory_mb: int, most: int) -> Step:
+    """Return a gang of whole or parts of workers, mostly in one rack."""
+    return Step(
+        count=min(most, 1 + int(rng.expovariate(0.2))),
+        resources=Resources(cores, memory_mb, rng.choice((1, 2, 4, 8, 8))),
+        gang=True,
+        one_rack=rng.random() < 0.8,
+    )
+
+
+def replay_burst(seed: int) -> Replay:
+    """Hand in ten urgent gangs on a full pool of 52 workers."""
+    rng = random.Random(seed)
+    replay = Replay(52, seed)
+    for number in range(4):
+        replay.submit(f"low{number}", SMALL, 2, 12.0)
+    for number in range(6):
+        step = gang(rng, 26_000, 53_000, 6)
+        replay.submit(f"mid{number}", step, 1, 12.0)
+    replay.pass_time(3.0)
+    for number in range(10):
+        step = gang(rng, 7_500, 20_000, 28)
+        replay.submit(f"urgent{number}", step, 0, 3.0)
+        replay.pass_time(rng.choice((0.1, 0.3, 1.0)))
+    replay.pass_time(10.0)
+    return replay
+
+
+class TestBurst:
+    """Urgent gangs that come at once stop work once each.
+
+    The load: a full pool whose stops take up to 0.9 s, a plan every 50 ms.
+    """
+
+    def test_no_gang_stops_others_twice(self):
+        for seed in range(8):
+            for job_id, claim in replay_burst(seed).claims.items():
+                assert claim.rounds == 1, (seed, job_id)
+
+    def test_stops_serve_the_gang_that_asked_for_them(self):
+        victims = useful = 0
+        for seed in range(8):
+            for claim in replay_burst(seed).claims.values():
+                victims += len(claim.victims)
+                useful += claim.useful
+        assert useful / victims >= 0.85
+
+    def test_each_gang_is_placed(self):
+        for seed in range(8):
+            assert len(replay_burst(seed).urgent_waits) == 10
+
+
+class TestClaims:
+    """A claim holds until it is met, or a cause is named."""
+
+    def fill(self, pool: Pool) -> list:
+        for number in range(len(pool.facts)):
+            pool.add(make_job(f"old{number}", steps=(gpu_step(8),)))
+            pool.run()
+        pool.now_s += 5.0
+        return list(pool.jobs.values())
+
+    def stop(self, state) -> None:
+        (unit,) = state.units.values()
+        unit.end(unit.members[0], Ending.STOPPED)
+
+    def test_gangs_do_not_take_each_others_room(self):
+        pool = Pool(workers=4)
+        old = self.fill(pool)
+        wide = (gpu_step(8, count=2, gang=True),)
+        pool.add(make_job("first", steps=wide, priority=0))
+        first = {victim.job_id for victim, _ in pool.run().stops}
+        pool.add(make_job("second", steps=wide, priority=0))
+        pool.run()
+        # One stop of each has ended, which would make room for either.
+        victims = [state for state in old if state.job.job_id in first]
+        others = [state for state in old if state.job.job_id not in first]
+        self.stop(victims[0])
+        self.stop(others[0])
+        assert pool.run().starts == []
+        self.stop(others[1])
+        (start,) = pool.run().starts
+        assert start.unit.job_id == "second"
+
+    def test_lost_worker_is_replaced_and_the_rest_kept(self):
+        pool = Pool(workers=4)
+        self.fill(pool)
+        wide = (gpu_step(8, count=2, gang=True),)
+        pool.add(make_job("new", steps=wide, priority=0))
+        kept, lost = (claim := next(iter(pool.run().claims.values()))).workers
+        assert claim.awaited == frozenset()
+        del pool.facts[lost]
+        plan = pool.run()
+        assert plan.revised[0][1] is ClaimFault.WORKER_LOST
+        assert len(plan.stops) == 1
+        assert kept in next(iter(plan.claims.values())).workers
+
+    def test_free_room_elsewhere_ends_the_wait(self):
+        pool = Pool(workers=3)
+        old = self.fill(pool)
+        pool.add(make_job("new", steps=(gpu_step(8),), priority=0))
+        (victim, _), *_ = pool.run().stops
+        (other, *_) = [
+            state for state in old if state.job.job_id != victim.job_id
+        ]
+        (unit,) = other.units.values()
+        unit.end(unit.members[0], Ending.DONE)
+        plan = pool.run()
+        assert [start.unit.job_id for start in plan.starts] == ["new"]
+        assert plan.revised[0][1] is ClaimFault.ROOM_ELSEWHERE
+        assert plan.claims == {}
+
+    def test_covered_work_takes_claims_of_uncovered_work(self):
+        pool = Pool(workers=1)
+        self.fill(pool)
+        pool.add(make_job("new", steps=(gpu_step(8),), priority=0))
+        pool.run()
+        pool.guarantees = {"sure": 8}
+        pool.add(
+            make_job(
+                "covered", steps=(gpu_step(8),), priority=0, customer="sure"
+            )
+        )
+        plan = pool.run()
+        assert [fault for _, fault in plan.revised] == [ClaimFault.YIELDED]
+        assert [key[0] for key in plan.claims] == ["covered"]
+
+    def test_work_that_does_not_end_as_expected_is_stopped(self):
+        pool = Pool(workers=2)
+        old = self.fill(pool)
+        (unit,) = old[0].units.values()
+        unit.members[0].note_percent(95, pool.now_s)
+        pool.add(make_job("new", steps=(gpu_step(8),), priority=0))
+        plan = pool.run()
+        assert plan.stops == []
+        assert next(iter(plan.claims.values())).awaited
+        pool.now_s += 0.6
+        plan = pool.run()
+        assert plan.revised[0][1] is ClaimFault.END_LATE
+        assert len(plan.stops) == 1
+
+    def test_claims_end_with_their_jobs(self):
+        pool = Pool(workers=1)
+        self.fill(pool)
+        state = pool.add(make_job("new", steps=(gpu_step(8),), priority=0))
+        assert pool.run().claims
+        state.cancelled = True
+        pool.add(make_job("small", steps=(gpu_step(1),)))
+        assert pool.run().claims == {}
