Spare urgent work and avoid suspects where room is freed

Urgent jobs were stopped for other urgent jobs within 0.1 s of their start, and gangs were started on workers that had just failed other jobs, each of which cost a further round of stops, and the latter an attempt.

Victims are now looked for among work that isn't urgent first. Room is claimed on workers that have not failed of late, and on others only if that is not to be had. Both tests fail on the code before.

--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -43,6 +43,8 @@
 # An urgent unit waits this long for running work that is about to end, before
 # it stops any. A stop takes up to 0.4 s itself.
 END_WAIT_S = 0.5
+# The priority of urgent work that no guarantee covers.
+URGENT = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,15 +241,29 @@
         return claim is not None
 
     def _find_claim(self, waiting: WaitingUnit) -> Claim | None:
-        """Return what to keep for an urgent unit that can't start now."""
+        """Return what to keep for an urgent unit that can't start now.
+
+        A run on a worker that fails it costs an attempt and a further claim,
+        so doubtful workers come in only where the others don't suffice.
+        """
+        tries = [*self._list_skipped(waiting), self._shunned(waiting)]
+        for skipped in dict.fromkeys(tries):
+            claim = self._find_claim_without(waiting, skipped)
+            if claim is not None:
+                return claim
+        return None
+
+    def _find_claim_without(
+        self, waiting: WaitingUnit, skipped: frozenset[str]
+    ) -> Claim | None:
         if self._is_freeing:
-            workers = self._place(waiting, self._soon)
+            workers = self._place_without(waiting, self._soon, skipped)
             if workers is not None:
                 return Claim(workers)
-        claim = self._await_ends(waiting)
+        claim = self._await_ends(waiting, skipped)
         if claim is not None:
             return claim
-        workers = self._preempt(waiting)
+        workers = self._preempt(waiting, skipped)
         return None if workers is None else Claim(workers)
 
     def _take(
@@ -262,31 +278,36 @@
     def _place(
         self, waiting: WaitingUnit, rooms: dict[str, Resources]
     ) -> tuple[str, ...] | None:
+        for skipped in self._list_skipped(waiting):
+            workers = self._place_without(waiting, rooms, skipped)
+            if workers is not None:
+                return workers
+        return None
+
+    def _place_without(
+        self,
+        waiting: WaitingUnit,
+        rooms: dict[str, Resources],
+        skipped: frozenset[str],
+    ) -> tuple[str, ...] | None:
+        """Return where a unit fits if some workers are left out."""
         state = self._state
         need = count_room(waiting.step)
         roomy = {
             worker: room
             for worker, room in rooms.items()
-            if need.fits_in(room)
+            if need.fits_in(room) and worker not in skipped
         }
         if not roomy:
             return None
-        for skipped in self._list_skipped(waiting):
-            workers = place_unit(
-                waiting,
-                {
-                    worker: room
-                    for worker, room in roomy.items()
-                    if worker not in skipped
-                },
-                state.workers,
-                self._present(waiting),
-                self._find_holding_racks(waiting.step),
-                state.now_s,
-            )
-            if workers is not None:
-                return workers
-        return None
+        return place_unit(
+            waiting,
+            roomy,
+            state.workers,
+            self._present(waiting),
+            self._find_holding_racks(waiting.step),
+            state.now_s,
+        )
 
     def _list_skipped(self, waiting: WaitingUnit) -> list[frozenset[str]]:
         """Return which workers to leave out, in the order of the tries."""
@@ -307,7 +328,7 @@
         if not self._budget.allows(size, waited_s):
             return None
         best: Reservation | None = None
-        for group in self._groups_for(waiting):
+        for group in self._groups_for(waiting, self._shunned(waiting)):
             found = reserve_workers(
                 step,
                 count,
@@ -346,7 +367,9 @@
             return frozenset()
         return waiting.avoid
 
-    def _await_ends(self, waiting: WaitingUnit) -> Claim | None:
+    def _await_ends(
+        self, waiting: WaitingUnit, skipped: frozenset[str]
+    ) -> Claim | None:
         """Return where the unit fits once work that is about to end has."""
         waited_s = self._state.now_s - waiting.unit.waiting_since_s
         left_s = END_WAIT_S - waited_s
@@ -362,7 +385,7 @@
         rooms = dict(self._soon)
         for item in ending:
             release(rooms, item)
-        workers = self._place(waiting, rooms)
+        workers = self._place_without(waiting, rooms, skipped)
         if workers is None:
             return None
         awaited = {
@@ -374,32 +397,47 @@
         until_s = waiting.unit.waiting_since_s + END_WAIT_S
         return Claim(workers, frozenset(awaited.items()), until_s)
 
-    def _preempt(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
-        """Stop the work that loses least; return where the unit then fits."""
+    def _preempt(
+        self, waiting: WaitingUnit, skipped: frozenset[str]
+    ) -> tuple[str, ...] | None:
+        """Stop the work that loses least; return where the unit then fits.
+
+        Other urgent work gives way only where the rest doesn't suffice.
+        """
+        bounds = sorted({waiting.priority, max(waiting.priority, URGENT)})
+        for bound in reversed(bounds):
+            best = self._find_sacrifice(waiting, skipped, bound)
+            if best is not None:
+                for item in best.victims:
+                    self._stop(item, waiting.unit)
+                return tuple(best.workers)
+        return None
+
+    def _find_sacrifice(
+        self, waiting: WaitingUnit, skipped: frozenset[str], bound: int
+    ) -> Sacrifice | None:
+        """Return the least loss among work that is less urgent than a bound.
+
+        Other racks come in where none can be freed, after a while.
+        """
         victims = {
             worker: [
                 item
                 for item in items
-                if item.priority > waiting.priority
-                and item.unit.key not in self._stopped
+                if item.priority > bound and item.unit.key not in self._stopped
             ]
             for worker, items in self._victims.items()
         }
         best: Sacrifice | None = None
-        for group in self._groups_for(waiting):
+        for group in self._groups_for(waiting, skipped):
             found = self._choose_victims(waiting, group, victims)
             if found is not None and (best is None or found.cost < best.cost):
                 best = found
         waited_s = self._state.now_s - waiting.unit.waiting_since_s
         if best is None and waited_s >= DATA_WAIT_S:
-            # No rack can be freed, as all have work that is as urgent.
-            allowed = self._list_allowed(waiting)
+            allowed = self._list_allowed(waiting, skipped)
             best = self._choose_victims(waiting, allowed, victims)
-        if best is None:
-            return None
-        for item in best.victims:
-            self._stop(item, waiting.unit)
-        return tuple(best.workers)
+        return best
 
     def _choose_victims(
         self,
@@ -416,28 +454,31 @@
             victims,
         )
 
-    def _groups_for(self, waiting: WaitingUnit) -> list[list[str]]:
+    def _groups_for(
+        self, waiting: WaitingUnit, skipped: frozenset[str]
+    ) -> list[list[str]]:
         """Return the groups of workers among which room may be freed.
 
         Work away from its data or over several racks takes several times as
         long, so other workers come in only where no rack could hold the unit.
         """
-        allowed = self._list_allowed(waiting)
+        allowed = self._list_allowed(waiting, skipped)
         racks = self._find_holding_racks(waiting.step)
         groups = group_workers(
             waiting.step, allowed, self._state.workers, racks
         )
         return groups or [allowed]
 
-    def _list_allowed(self, waiting: WaitingUnit) -> list[str]:
+    def _list_allowed(
+        self, waiting: WaitingUnit, skipped: frozenset[str]
+    ) -> list[str]:
         """Return the workers that the unit may be given to."""
-        shunned = self._shunned(waiting)
         return [
             worker
             for worker in find_allowed(
                 waiting.step, self._soon, self._state.workers
             )
-            if worker not in shunned
+            if worker not in skipped
         ]
 
     def _stop(self, victim: RunningUnit, unit: Unit) -> None:
--- a/tests/test_poolplanner.py
+++ b/tests/test_poolplanner.py
@@ -99,6 +99,31 @@
         assert [start.unit.job_id for start in plan.starts] == ["new"]
         assert urgent.units[(0, 0, 0)].running
 
+    def test_covered_work_spares_an_urgent_gang_that_just_began(self):
+        pool = Pool(workers=4)
+        pool.guarantees = {"sure": 16}
+        for name in ("old0", "old1"):
+            pool.add(make_job(name, steps=(gpu_step(8),), priority=2))
+        pool.run()
+        pool.now_s += 5
+        pair = (gpu_step(8, count=2, gang=True),)
+        pool.add(make_job("urgent", steps=pair, priority=0))
+        pool.run()
+        pool.now_s += 0.1
+        pool.add(make_job("covered", steps=pair, priority=0, customer="sure"))
+        stopped = {victim.job_id for victim, _ in pool.run().stops}
+        assert stopped == {"old0", "old1"}
+
+    def test_room_is_freed_on_workers_that_have_not_failed(self):
+        pool = Pool(workers=2)
+        self.fill(pool)
+        # The last worker has run its work for the shortest time.
+        pool.suspects = {"w1"}
+        pool.now_s = 110.0
+        pool.add(make_job("new", steps=(gpu_step(8),), priority=0))
+        plan = pool.run()
+        assert [victim.job_id for victim, _ in plan.stops] == ["old0"]
+
     def test_does_not_stop_equally_urgent_work(self):
         pool = Pool(workers=1)
         pool.add(make_job("first", steps=(gpu_step(8),), priority=0))
