Serve on at a planned stop until a successor's term begins

When entries were restarted one after another while the store was slow, all running work of the pool was lost, urgent jobs with it, which were then late.

The holder stops at 11.0, just as the store begins to take 0.25 s a transaction; its release is stored at 11.58, the next entry has the role at 12.63 and is stopped itself at 13.0 before it has met a worker; its release gets no answer in 1.5 s, and the third holder has the role at 16.27 and meets the workers at 16.79: nobody renewed a lease for 5 s. Ruled out: silent workers, and an outage (reads are answered all the while).

Cause: the role was free from the release to the take, while all candidates wrote to the one partition. A stopping holder now asks who would take the role, hands it to one entry, and goes on serving until that term begins. A successor spares one read before its write (the epoch comes with the lease row), and reads its three tables at a time.

--- a/hickorywing/handover.py
+++ b/hickorywing/handover.py
@@ -11,6 +11,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import random
 
 from blacksheep import Application
 from blacksheep import Request
@@ -24,13 +25,13 @@
 from hickorywing.jobrows import entry_key
 from hickorywing.jobrows import log_unreadable
 from hickorywing.logevents import LogEvent
-from hickorywing.poollease import OfferOutcome
 from hickorywing.poollease import PoolLease
 from hickorywing.rows import Committed
 from hickorywing.rows import RowStore
 from hickorywing.rows import RowTransaction
 from hickorywing.rows import RowWrite
 from hickorywing.rows import StoreUnavailable
+from hickorywing.succession import OfferOutcome
 from hickorywing.web import add_route
 from hickorywing.web import answer_json
 
@@ -46,6 +47,8 @@
 # An entry that reaches the store reads a row in a few milliseconds, or in a
 # quarter of a second while the store is slow.
 OFFER_TIMEOUT_S = 0.5
+# An entry answers a planned offer from memory.
+ASK_TIMEOUT_S = 0.2
 RETRY_S = 0.5
 # Three rounds reach the entries of a pool of hundreds of workers, well within
 # a lease; more at a time would make as many candidates of the same term.
@@ -55,10 +58,17 @@
 
 
 class RoleOffer(msgspec.Struct, frozen=True):
-    """Offers the role of a pool's controller in a given term."""
+    """Offers the role of a pool's controller in a given term.
+
+    ``planned`` says that its holder stops and will hold it no longer, so an
+    entry need not read the store before it accepts. An offer that is not
+    ``binding`` only asks whether an entry would accept.
+    """
 
     pool: str
     epoch: int
+    planned: bool = False
+    binding: bool = True
 
 
 class OfferAnswer(msgspec.Struct, frozen=True):
@@ -74,6 +84,7 @@
     accepted: bool = False
     term: int = 0
     vouches: bool = False
+    head_start_s: float = 0.0
 
 
 class PeerBook:
@@ -152,13 +163,52 @@
     return OfferOutcome(vouched=vouched)
 
 
+async def pass_role(
+    pool: str, epoch: int, peers: PeerBook, http: HttpClient
+) -> str:
+    """Hand the role to one entry; return its name, empty if none accepts.
+
+    Only one is asked to take it, the strongest first: at a slow store every
+    further write of a candidate would hold up that of the successor.
+    """
+    question = msgspec.json.encode(
+        RoleOffer(pool, epoch, planned=True, binding=False)
+    )
+    names = list(peers.addresses)
+    random.shuffle(names)
+    answers = await asyncio.gather(
+        *(
+            ask_entry(peers.addresses[name], question, http, ASK_TIMEOUT_S)
+            for name in names
+        )
+    )
+    willing = [
+        (answer.head_start_s, place, name)
+        for place, (name, answer) in enumerate(
+            zip(names, answers, strict=True)
+        )
+        if answer.accepted
+    ]
+    offer = msgspec.json.encode(RoleOffer(pool, epoch, planned=True))
+    for _, _, name in sorted(willing):
+        answer = await ask_entry(
+            peers.addresses[name], offer, http, ASK_TIMEOUT_S
+        )
+        if answer.accepted:
+            return name
+    return ""
+
+
 async def ask_entry(
-    address: str, body: bytes, http: HttpClient
+    address: str,
+    body: bytes,
+    http: HttpClient,
+    timeout_s: float = OFFER_TIMEOUT_S,
 ) -> OfferAnswer:
     """Return an entry's answer to an offer; silence counts as a refusal."""
     try:
         answer = await http.call(
-            "POST", f"http://{address}/take-role", OFFER_TIMEOUT_S, body
+            "POST", f"http://{address}/take-role", timeout_s, body
         )
         return msgspec.json.decode(answer.body, type=OfferAnswer)
     except (CallError, msgspec.MsgspecError):
@@ -192,6 +242,8 @@
         if lease is None:
             # Not a candidate yet, as after a start while the store is silent.
             return answer_json(409, OfferAnswer(vouches=True))
+        if offer.planned:
+            return self._take_planned(offer, lease)
         read = await self._read_epoch(offer.pool)
         answer = answer_offer(offer, read, lease)
         self._log.write(
@@ -206,6 +258,24 @@
             lease.consent(offer.epoch)
         return answer_json(200 if answer.accepted else 409, answer)
 
+    def _take_planned(self, offer: RoleOffer, lease: PoolLease) -> Response:
+        """Accept the role of a holder that stops, if this entry can."""
+        answer = OfferAnswer(
+            lease.can_take(), lease.epoch, head_start_s=lease.head_start_s
+        )
+        if offer.binding:
+            self._log.write(
+                LogEvent.ROLE_OFFERED,
+                pool=offer.pool,
+                epoch=offer.epoch,
+                read=None,
+                accepted=answer.accepted,
+                planned=True,
+            )
+            if answer.accepted:
+                lease.consent(offer.epoch, alone=True)
+        return answer_json(200 if answer.accepted else 409, answer)
+
 
 def answer_offer(
     offer: RoleOffer, read: int | None, lease: PoolLease
--- /dev/null
+++ b/hickorywing/peersuccession.py
@@ -0,0 +1,66 @@
+"""Pass a pool's role on by asking the other entries."""
+
+from dataclasses import asdict
+
+from hickorywing.decisions import DecisionLog
+from hickorywing.handover import offer_role
+from hickorywing.handover import pass_role
+from hickorywing.handover import PeerBook
+from hickorywing.handover import RoleOffer
+from hickorywing.httpclient import HttpClient
+from hickorywing.jobrows import LeaseRow
+from hickorywing.logevents import LogEvent
+from hickorywing.succession import OfferOutcome
+from hickorywing.succession import Succession
+from hickorywing.suspicion import is_holder_gone
+
+__all__ = ["PeerSuccession"]
+
+
+class PeerSuccession(Succession):
+    """Asks the entries that have registered, and logs what came of it."""
+
+    def __init__(
+        self,
+        pool: str,
+        peers: PeerBook,
+        http: HttpClient,
+        log: DecisionLog,
+    ) -> None:
+        self._pool = pool
+        self._peers = peers
+        self._http = http
+        self._log = log
+
+    async def offer(self, epoch: int) -> OfferOutcome:
+        """Offer a term to all entries."""
+        offer = RoleOffer(self._pool, epoch)
+        outcome = await offer_role(offer, self._peers, self._http)
+        self._log_outcome(epoch, outcome, planned=False)
+        return outcome
+
+    async def pass_on(self, epoch: int) -> bool:
+        """Hand a term to the strongest entry that accepts."""
+        successor = await pass_role(self._pool, epoch, self._peers, self._http)
+        self._log_outcome(epoch, OfferOutcome(successor), planned=True)
+        return bool(successor)
+
+    def _log_outcome(
+        self, epoch: int, outcome: OfferOutcome, planned: bool
+    ) -> None:
+        self._log.write(
+            LogEvent.ROLE_HANDED_OVER
+            if outcome.successor
+            else LogEvent.ROLE_NOT_TAKEN,
+            pool=self._pool,
+            epoch=epoch,
+            planned=planned,
+            asked=sorted(self._peers.addresses),
+            **asdict(outcome),
+        )
+
+    async def is_gone(self, lease: LeaseRow) -> bool:
+        """Tell whether the holder is away, by this entry and others."""
+        return await is_holder_gone(
+            self._pool, lease, self._peers, self._http, self._log
+        )
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -9,7 +9,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-from dataclasses import asdict
 from dataclasses import dataclass
 import time
 import traceback
@@ -21,16 +20,13 @@
 from hickorywing.clock import now_s
 from hickorywing.committer import Committer
 from hickorywing.decisions import DecisionLog
-from hickorywing.handover import offer_role
 from hickorywing.handover import PeerBook
-from hickorywing.handover import RoleOffer
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobrows import AgentRow
 from hickorywing.jobrows import AGENTS
 from hickorywing.jobrows import decode_job
 from hickorywing.jobrows import decode_row
 from hickorywing.jobrows import decode_status
-from hickorywing.jobrows import LeaseRow
 from hickorywing.jobrows import log_unreadable
 from hickorywing.jobrows import PROGRESS
 from hickorywing.jobrows import queue_key
@@ -42,13 +38,13 @@
 from hickorywing.jobrows import STATUSES
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
+from hickorywing.peersuccession import PeerSuccession
 from hickorywing.policy.candidacy import count_head_start_s
 from hickorywing.policy.candidacy import Strength
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.policy.settling import Settling
 from hickorywing.poolconfig import ConfigurationView
-from hickorywing.poollease import OfferOutcome
 from hickorywing.poollease import PoolLease
 from hickorywing.rows import HistoryLost
 from hickorywing.rows import RowStore
@@ -56,7 +52,6 @@
 from hickorywing.rows import StoreUnavailable
 from hickorywing.runcontrol import ControllerTerms
 from hickorywing.runcontrol import RunControl
-from hickorywing.suspicion import is_holder_gone
 from hickorywing.tablefeed import TableFeed
 
 __all__ = ["ControllerParts", "PoolController"]
@@ -99,9 +94,8 @@
             parts.store,
             parts.log,
             parts.metrics,
-            self._offer_role,
+            PeerSuccession(pool, parts.peers, parts.http, parts.log),
             count_head_start_s(parts.strength),
-            self._is_holder_gone,
         )
         self._parts = parts
 
@@ -109,28 +103,6 @@
         """Compete for the pool and control it until cancelled."""
         await self.lease.run(self._serve)
 
-    async def _offer_role(self, epoch: int) -> OfferOutcome:
-        """Offer the role to the other entries."""
-        offer = RoleOffer(self.pool, epoch)
-        outcome = await offer_role(offer, self._parts.peers, self._parts.http)
-        self._parts.log.write(
-            LogEvent.ROLE_HANDED_OVER
-            if outcome.successor
-            else LogEvent.ROLE_NOT_TAKEN,
-            pool=self.pool,
-            epoch=epoch,
-            asked=sorted(self._parts.peers.addresses),
-            **asdict(outcome),
-        )
-        return outcome
-
-    async def _is_holder_gone(self, lease: LeaseRow) -> bool:
-        """Tell whether the holder is away, by this entry and others."""
-        parts = self._parts
-        return await is_holder_gone(
-            self.pool, lease, parts.peers, parts.http, parts.log
-        )
-
     async def _serve(self) -> None:
         """Control the pool for one term."""
         refreshing = asyncio.ensure_future(self._refresh_peers())
@@ -222,12 +194,18 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _load(self) -> int:
-        """Read all jobs and their progress; return the version to follow."""
+        """Read all jobs and their progress; return the version to follow.
+
+        Nobody but this holder writes progress and statuses, so it doesn't
+        matter which of the reads is answered first.
+        """
         while True:
             try:
-                requests = await self._store.read_part(REQUESTS, self._pool)
-                progress = await self._store.read_part(PROGRESS, self._pool)
-                statuses = await self._store.read_part(STATUSES, self._pool)
+                requests, progress, statuses = await asyncio.gather(
+                    self._store.read_part(REQUESTS, self._pool),
+                    self._store.read_part(PROGRESS, self._pool),
+                    self._store.read_part(STATUSES, self._pool),
+                )
             except StoreUnavailable as error:
                 self._log.write(LogEvent.LOAD_FAILED, error=str(error))
                 await asyncio.sleep(RETRY_S)
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -10,7 +10,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Mapping
 import random
 
 import msgspec
@@ -34,18 +34,20 @@
 from hickorywing.rows import Mismatch
 from hickorywing.rows import Refused
 from hickorywing.rows import RowExpectation
+from hickorywing.rows import RowKey
 from hickorywing.rows import RowStore
 from hickorywing.rows import RowTransaction
 from hickorywing.rows import RowWrite
 from hickorywing.rows import StoredRow
 from hickorywing.rows import StoreUnavailable
 from hickorywing.rows import Unknown
+from hickorywing.succession import NoSuccession
+from hickorywing.succession import Succession
 from hickorywing.waiting import wait_for_event
 
 __all__ = [
     "LEASE_S",
     "SUSPECT_AFTER_S",
-    "OfferOutcome",
     "PoolLease",
     "decode_epoch",
     "read_holder_epoch",
@@ -63,31 +65,18 @@
 # Keeps two candidates from writing in the same instant.
 CANDIDATE_SPREAD_S = 0.1
 WATCH_S = 0.5
+# For how long a stopping holder waits for the successor that has accepted: a
+# few calls to a slow store. The rest of its grace time is for its callers.
+HAND_OVER_S = 1.5
 # Longer than a read of a slow store; the offer's own limit is just above.
 READ_TIMEOUT_S = 0.4
 UNKNOWN_HOLDER = "?"
 
 
-@dataclass(frozen=True, slots=True)
-class OfferOutcome:
-    """What came of offering the role to the other entries.
-
-    ``successor`` accepted it, perhaps beside others, of which one takes it;
-    ``newer_term`` is one that somebody knows of.
-    ``vouched`` tells that no entry reaches the store or held a newer term, by
-    the answers of all of them.
-    """
-
-    successor: str = ""
-    newer_term: int = 0
-    vouched: bool = False
-
-
 class PoolLease:
     """One process's part in holding a pool's lease.
 
     ``head_start_s`` is for how long it lets stronger candidates go first.
-    ``is_gone`` finds out whether a silent holder is away.
     """
 
     def __init__(
@@ -97,9 +86,8 @@
         store: RowStore,
         log: DecisionLog,
         metrics: Metrics,
-        offer: Callable[[int], Awaitable[OfferOutcome]] | None = None,
+        succession: Succession | None = None,
         head_start_s: float = 0.0,
-        is_gone: Callable[[LeaseRow], Awaitable[bool]] | None = None,
     ) -> None:
         self.pool = pool
         self.name = name
@@ -114,10 +102,11 @@
         self._version = 0
         self._renewal = 0
         self._tried_since_s: float | None = None
-        self._offer = offer
-        self._head_start_s = head_start_s
-        self._is_gone = is_gone
+        self._succession = succession or NoSuccession()
+        self.head_start_s = head_start_s
         self._consented = 0
+        self._consented_alone = False
+        self._passing = False
         self._consent_given = asyncio.Event()
         self.released = False
         self._lost = asyncio.Event()
@@ -171,9 +160,18 @@
             )
             self._lost.set()
 
-    def consent(self, epoch: int) -> None:
-        """Take over at once, as the holder of a term has asked for it."""
+    def can_take(self) -> bool:
+        """Tell whether this candidate could take the role now."""
+        return not self.released and self._store.is_reachable()
+
+    def consent(self, epoch: int, alone: bool = False) -> None:
+        """Take over at once, as the holder of a term has asked for it.
+
+        ``alone`` tells that no other entry was asked, so there is nobody to
+        let go first.
+        """
         self._consented = epoch
+        self._consented_alone = alone
         self._consent_given.set()
 
     async def run(self, serve: Callable[[], Awaitable[None]]) -> None:
@@ -202,10 +200,18 @@
             await asyncio.gather(serving, renewing, return_exceptions=True)
 
     async def release(self) -> None:
-        """Let a successor take over at once, and compete no more."""
+        """Let a successor take over at once, and compete no more.
+
+        One that accepts is left to take over while this holder goes on
+        serving, so that running work keeps its leases for as long as that
+        takes. Else the row says that the role is free.
+        """
         self.released = True
         if not self.holds():
             return
+        await self._pass_on()
+        if self._lost.is_set():
+            return
         self._lost.set()
         answer = await self._store.commit(
             self._transaction(LeaseRow("", self.epoch, self._renewal + 1))
@@ -217,6 +223,15 @@
             outcome=name_of_outcome(answer),
         )
 
+    async def _pass_on(self) -> None:
+        """Hand the role to one entry, and wait for its term to begin."""
+        self._offered_s = min(self._offered_s, now_s())
+        if await self._succession.pass_on(self.epoch):
+            # A renewal would change the row under the successor's write.
+            self._passing = True
+            await wait_for_event(self._lost, HAND_OVER_S)
+            self._passing = False
+
     async def _acquire(self) -> bool:
         """Return once the lease is held; ``False`` after a release.
 
@@ -226,16 +241,17 @@
         seen: StoredRow | None = None
         still_since: float | None = None
         version: int | None = None
-        row: StoredRow | None = None
+        rows: dict[RowKey, StoredRow] = {}
         while not self.released:
             try:
                 if version is None:
-                    row, version = await self._read_lease()
+                    rows, version = await self._read_rows()
             except StoreUnavailable:
                 still_since = None
                 await asyncio.sleep(RETRY_S)
                 continue
             at = now_s()
+            row = rows.get(lease_key(self.pool))
             if still_since is None or version_of(row) != version_of(seen):
                 seen, still_since = row, at
             lease = decode_lease(row)
@@ -246,7 +262,7 @@
             )
             still_s = at - still_since
             if vacant or await self._is_over(lease, still_s):
-                if await self._take(row, lease):
+                if await self._take(rows, lease):
                     return True
                 still_since = version = None
                 continue
@@ -262,34 +278,31 @@
                 version = None
                 continue
             version = page.version
-            for changed in page.rows:
-                if changed.key == lease_key(self.pool):
-                    row = changed
+            rows.update((changed.key, changed) for changed in page.rows)
         return False
 
     async def _is_over(self, lease: LeaseRow, still_s: float) -> bool:
         """Tell whether a lease that isn't renewed has run out or is lost."""
         if still_s >= LEASE_S:
             return True
-        return (
-            still_s >= SUSPECT_AFTER_S
-            and self._is_gone is not None
-            and await self._is_gone(lease)
+        return still_s >= SUSPECT_AFTER_S and await self._succession.is_gone(
+            lease
         )
 
     def _count_wait_s(self, still_s: float) -> float:
         """Return for how long a lease that isn't renewed is left alone."""
-        if still_s < SUSPECT_AFTER_S and self._is_gone is not None:
+        if still_s < SUSPECT_AFTER_S:
             return SUSPECT_AFTER_S - still_s
         return LEASE_S - still_s
 
-    async def _read_lease(self) -> tuple[StoredRow | None, int]:
-        """Return the row and the version from which on to follow it."""
-        key = lease_key(self.pool)
-        read = await self._store.read_part(
-            key.table, key.part, key.key, key.key + "\0"
-        )
-        return (read.rows[0] if read.rows else None), read.version
+    async def _read_rows(self) -> tuple[dict[RowKey, StoredRow], int]:
+        """Return the pool's rows and the version from which to follow them.
+
+        The epoch is read and followed with the lease, as a further read would
+        hold up a takeover at a slow store.
+        """
+        read = await self._store.read_part(LEASES, self.pool)
+        return {row.key: row for row in read.rows}, read.version
 
     async def _wait_for_change(
         self, version: int, left_s: float
@@ -318,13 +331,14 @@
             consent.cancel()
             change.cancel()
 
-    async def _take(self, row: StoredRow | None, lease: LeaseRow) -> bool:
-        pause_s = random.uniform(0, CANDIDATE_SPREAD_S)
-        await asyncio.sleep(self._head_start_s + pause_s)
-        try:
-            epoch_row = await self._store.read_row(epoch_key(self.pool))
-        except StoreUnavailable:
-            return False
+    async def _take(
+        self, rows: Mapping[RowKey, StoredRow], lease: LeaseRow
+    ) -> bool:
+        if not (self._consented_alone and lease.epoch == self._consented):
+            pause_s = random.uniform(0, CANDIDATE_SPREAD_S)
+            await asyncio.sleep(self.head_start_s + pause_s)
+        row = rows.get(lease_key(self.pool))
+        epoch_row = rows.get(epoch_key(self.pool))
         epoch = max(lease.epoch, decode_epoch(epoch_row)) + 1
         sent_s = now_s()
         wanted = LeaseRow(self.name, epoch, 0)
@@ -367,7 +381,7 @@
     async def _renew_until_lost(self) -> None:
         while not self._lost.is_set():
             sent_s = now_s()
-            confirmed = await self._renew()
+            confirmed = self._passing or await self._renew()
             # At a slow store the lease would run out during a further pause.
             left_s = max(0.0, sent_s + RENEW_EVERY_S - now_s())
             pause_s = left_s if confirmed else RETRY_S
@@ -412,12 +426,12 @@
 
     async def _hand_over(self) -> None:
         """Give the role to an entry that reaches the store, if any does."""
-        if self._offer is None or self._lost.is_set():
+        if self._lost.is_set():
             return
         asked_s = now_s()
         # An entry may accept and its answer be lost.
         self._offered_s = min(self._offered_s, asked_s)
-        outcome = await self._offer(self.epoch)
+        outcome = await self._succession.offer(self.epoch)
         if outcome.successor:
             self.surrender(f"handed to {outcome.successor}")
         elif outcome.newer_term:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,6 +8,7 @@
 from hickorywing.handover import offer_role
 from hickorywing.handover import OFFER_TIMEOUT_S
 from hickorywing.handover import OfferAnswer
+from hickorywing.handover import pass_role
 from hickorywing.handover import RoleOffer
 from hickorywing.httpclient import CallTimeout
 from hickorywing.httpclient import HttpAnswer
@@ -84,3 +85,45 @@
         outcome = await peers.offer()
         assert not outcome.vouched
         assert not outcome.newer_term
+
+
+class Willing(Peers):
+    """Entries that accept planned offers, some of them on weak VMs."""
+
+    def __init__(self, head_starts_s: dict[str, float]) -> None:
+        super().__init__(0)
+        self.addresses = {name: name for name in head_starts_s}
+        self.head_starts_s = head_starts_s
+        self.lost: set[str] = set()
+        self.bound: list[str] = []
+
+    async def call(
+        self, method: str, url: str, timeout_s: float, body: bytes
+    ) -> HttpAnswer:
+        host = url.removeprefix("http://").removesuffix("/take-role")
+        offer = msgspec.json.decode(body, type=RoleOffer)
+        assert offer.planned
+        if offer.binding and host in self.lost:
+            raise CallTimeout(url)
+        if offer.binding:
+            self.bound.append(host)
+        answer = OfferAnswer(True, head_start_s=self.head_starts_s[host])
+        return HttpAnswer(200, msgspec.json.encode(answer))
+
+
+class TestPlannedOffers:
+    """A holder that stops hands its role to one entry."""
+
+    async def test_strongest_is_the_only_one_to_take_it(self):
+        peers = Willing({"e1": 0.3, "e2": 0.0, "e3": 0.2})
+        assert await pass_role("p", 3, peers, peers) == "e2"
+        assert peers.bound == ["e2"]
+
+    async def test_next_one_if_it_is_lost_meanwhile(self):
+        peers = Willing({"e1": 0.3, "e2": 0.0, "e3": 0.2})
+        peers.lost = {"e2"}
+        assert await pass_role("p", 3, peers, peers) == "e3"
+
+    async def test_nobody_there(self):
+        peers = Willing({})
+        assert await pass_role("p", 3, peers, peers) == ""
--- a/tests/test_poollease.py
+++ b/tests/test_poollease.py
@@ -14,15 +14,16 @@
 from hickorywing.policy.candidacy import count_head_start_s
 from hickorywing.policy.candidacy import Strength
 from hickorywing.poollease import LEASE_S
-from hickorywing.poollease import OfferOutcome
 from hickorywing.poollease import PoolLease
 from hickorywing.poollease import read_holder_epoch
 from hickorywing.poollease import SUSPECT_AFTER_S
 from hickorywing.standins.rowstore import MemoryRowStore
 from hickorywing.standins.rowstore import StoreFault
+from hickorywing.succession import OfferOutcome
+from hickorywing.succession import Succession
 
 
-class Candidates:
+class Candidates(Succession):
     """Two candidates over one store; ``serving`` lists who serves."""
 
     async def __aenter__(self) -> "Candidates":
@@ -36,6 +37,7 @@
         self.offered_s = float("inf")
         self.head_starts_s: dict[str, float] = {}
         self.holder_gone = False
+        self.accepting = False
         await self.begin("a")
         await self.wait(lambda: self.serving == ["a"])
         await self.begin("b")
@@ -55,9 +57,8 @@
             self.ways[name],
             log,
             metrics,
-            self.offer,
+            self,
             self.head_starts_s.get(name, 0.0),
-            self.is_gone,
         )
         self.leases[name] = lease
 
@@ -83,6 +84,12 @@
             return OfferOutcome(successor="b")
         return OfferOutcome(vouched=answer.vouches)
 
+    async def pass_on(self, epoch: int) -> bool:
+        if not self.accepting:
+            return False
+        self.leases["b"].consent(epoch, alone=True)
+        return True
+
     async def is_gone(self, lease: LeaseRow) -> bool:
         return self.holder_gone
 
@@ -368,3 +375,31 @@
             await both.wait(lambda: "b" in both.serving)
             assert lease.renewed_s is not None
             assert lease.alone_until_s() <= both.leases["b"].renewed_s
+
+
+class TestPlannedStop:
+    """The holder stops while running work needs its leases renewed."""
+
+    async def test_somebody_serves_until_the_successors_term_begins(self):
+        async with Candidates() as both:
+            both.accepting = True
+            stopping = asyncio.ensure_future(both.leases["a"].release())
+            while "b" not in both.serving:
+                assert both.serving == ["a"]
+                await asyncio.sleep(0.001)
+            await stopping
+            await both.wait(lambda: both.serving == ["b"])
+
+    async def test_row_is_released_if_nobody_accepts(self):
+        async with Candidates() as both:
+            await both.leases["a"].release()
+            took_s = await both.wait(lambda: both.serving == ["b"])
+            assert took_s < SUSPECT_AFTER_S
+
+    async def test_row_is_released_if_the_successor_does_not_begin(self):
+        async with Candidates() as both:
+            both.accepting = both.ways["b"].cut = True
+            stopping = asyncio.ensure_future(both.leases["a"].release())
+            await stopping
+            both.ways["b"].cut = False
+            await both.wait(lambda: both.serving == ["b"])
--- a/tests/test_roleschedules.py
+++ b/tests/test_roleschedules.py
@@ -11,9 +11,9 @@
 from hickorywing.jobrows import LeaseRow
 from hickorywing.metrics import Metrics
 from hickorywing.poollease import LEASE_S
-from hickorywing.poollease import OfferOutcome
 from hickorywing.poollease import PoolLease
 from hickorywing.standins.rowstore import MemoryRowStore
+from hickorywing.succession import NoSuccession
 
 SCHEDULES = 12
 STEPS = 20
@@ -37,27 +37,23 @@
         self.began_s: dict[int, float] = {}
         self.serving: set[str] = set()
 
-    async def offer(self, epoch: int) -> OfferOutcome:
-        return OfferOutcome()
+    def may_doubt(self, lease: LeaseRow) -> bool:
+        """Tell whether a candidate finds a holder gone, rightly or not."""
+        lost = lease.holder not in self.tasks
+        return lost or self.random.random() < 0.3
 
     def begin(self, name: str) -> None:
         """Start a process, which knows nothing of an earlier one."""
         metrics = Metrics(name)
         log = DecisionLog(name, "entry", metrics, KeptLines())
 
-        async def is_gone(lease: LeaseRow) -> bool:
-            await asyncio.sleep(self.random.uniform(0.0, 0.3))
-            lost = lease.holder not in self.tasks
-            return lost or self.random.random() < 0.3
-
         lease = PoolLease(
             "p",
             name,
             self.ways[name],
             log,
             metrics,
-            self.offer,
-            is_gone=is_gone,
+            Doubt(self),
         )
 
         async def serve() -> None:
@@ -130,6 +126,17 @@
                 await self.lose(name)
 
 
+class Doubt(NoSuccession):
+    """Takes a holder for gone after a moment."""
+
+    def __init__(self, schedule: Schedule) -> None:
+        self._schedule = schedule
+
+    async def is_gone(self, lease: LeaseRow) -> bool:
+        await asyncio.sleep(self._schedule.random.uniform(0.0, 0.3))
+        return self._schedule.may_doubt(lease)
+
+
 class TestSchedules:
     """Each term begins once, after all that the last one could grant."""
 
