Run urgent gangs on workers that aren't slow

A worker's speed is in nothing that it says of itself, and declared times are too far off. Tasks of one step ask for about the same work, so their paces are now compared with each other, which finds most of the slow workers after some 200 tasks (a test with uneven tasks: over 80 % found, under 15 % wrong). Urgent units take free room, and claim room, on the others first. They don't wait for a fast worker beside a free one, as a stop costs as much.

--- a/hickorywing/policy/poolhealth.py
+++ b/hickorywing/policy/poolhealth.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from hickorywing.policy.workerpace import WorkerPace
+
 __all__ = ["WorkerHealth"]
 
 # A single failure may be the job's own fault; a second job's is not.
@@ -38,6 +40,7 @@
     def __init__(self) -> None:
         self._failures: dict[str, Failures] = {}
         self._done_s: dict[str, float] = {}
+        self.pace = WorkerPace()
 
     def note_done(self, worker: str, now_s: float) -> None:
         """Take in that a worker completed a task."""
@@ -53,6 +56,7 @@
         """Drop what is known of a worker that is gone."""
         self._failures.pop(worker, None)
         self._done_s.pop(worker, None)
+        self.pace.forget(worker)
 
     def is_proven(self, worker: str, now_s: float) -> bool:
         """Tell whether a worker has completed something of late."""
--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -76,7 +76,8 @@
     ``free`` is the room of each usable worker now, ``coming`` what members
     that are being stopped will free there, ``claims`` what the last plan has
     kept. ``suspects`` have failed of late and come after all others;
-    ``proven`` have completed something of late.
+    ``proven`` have completed something of late. ``slow`` workers take longer
+    than others for the same work.
     """
 
     workers: dict[str, WorkerFacts]
@@ -88,6 +89,7 @@
     suspects: frozenset[str] = frozenset()
     proven: frozenset[str] = frozenset()
     claims: Mapping[UnitKey, Claim] = field(default_factory=dict)
+    slow: frozenset[str] = frozenset()
 
 
 class Planner:
@@ -318,6 +320,9 @@
             # A unit with few attempts left waits for a good worker.
             unproven = state.workers.keys() - state.proven
             tries = [tries[0] | unproven, tries[0]]
+        if waiting.priority <= URGENT:
+            # A gang runs at the pace of its slowest member.
+            tries = [tries[0] | state.slow, *tries]
         return list(dict.fromkeys(tries))
 
     def _reserve(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -92,7 +92,8 @@
     ``worker`` is an incarnation. ``seen`` is set once the worker has said
     that the run is there; ``tries`` counts the start orders sent.
     ``stopped_ms`` is the worker's clock when it confirmed a stop, and
-    ``percent`` the share of its work done at ``percent_at_s``.
+    ``percent`` the share of its work done at ``percent_at_s``. The first share
+    that was seen is kept as well, as a run may begin from a save.
     """
 
     index: int
@@ -103,12 +104,18 @@
     stopped_ms: int | None = None
     percent: int = 0
     percent_at_s: float = 0.0
+    first_percent: int = 0
+    first_percent_at_s: float | None = None
+    paced: bool = False
 
     def note_percent(self, percent: int, now_s: float) -> None:
         """Take in the share of work done, if it has changed."""
         if percent != self.percent:
             self.percent = percent
             self.percent_at_s = now_s
+            if self.first_percent_at_s is None:
+                self.first_percent = percent
+                self.first_percent_at_s = now_s
 
 
 @dataclass(slots=True)
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -21,6 +21,8 @@
 from hickorywing.policy.poolprogress import WorkerTerms
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolstalls import is_stalled
+from hickorywing.policy.workerpace import is_comparable
+from hickorywing.policy.workerpace import measure_pace
 from hickorywing.poollease import PoolLease
 from hickorywing.runorders import RunOrders
 
@@ -244,10 +246,22 @@
         # The lists are from the agent's last look.
         looked_ago_s = max(0, report.clock_ms - report.looked_ms) / 1000
         member.note_percent(run.percent, now_s() - looked_ago_s)
+        self._note_pace(item, report)
         self._jobs.note_save(item, run.saved)
         self._orders.check_stop(member, report.looked_ms)
         self._check_stall(item)
 
+    def _note_pace(self, item: OpenMember, report: WorkerReport) -> None:
+        """Learn once from each run how fast its worker is."""
+        member, unit = item.member, item.unit
+        rack = report.labels[1] if len(report.labels) > 1 else ""
+        if member.paced or not is_comparable(item.step, rack):
+            return
+        percent_s = measure_pace(member)
+        if percent_s is not None:
+            member.paced = True
+            self._health.pace.note(unit.step_key, report.worker, percent_s)
+
     def _check_stall(self, item: OpenMember) -> None:
         """Stop a run that stands still, so that it is placed elsewhere."""
         unit, now = item.unit, now_s()
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -80,6 +80,7 @@
         self.guarantees: dict[str, int] = {}
         self.suspects: set[str] = set()
         self.proven: set[str] = set()
+        self.slow: set[str] = set()
         self.claims: dict = {}
         self.now_s = 100.0
 
@@ -135,6 +136,7 @@
                 frozenset(self.suspects),
                 frozenset(self.proven),
                 self.claims,
+                frozenset(self.slow),
             )
         ).make_plan()
 
--- /dev/null
+++ b/tests/test_workerpace.py
@@ -0,0 +1,119 @@
+"""Which workers are slower than others, as their tasks show."""
+
+import math
+import random
+
+from poolhelpers import gpu_step
+from poolhelpers import make_job
+from poolhelpers import Pool
+
+from hickorywing.policy.poolruns import Member
+from hickorywing.policy.workerpace import is_comparable
+from hickorywing.policy.workerpace import measure_pace
+from hickorywing.policy.workerpace import WorkerPace
+
+WORKERS = [f"w{number}" for number in range(52)]
+SLOW = set(WORKERS[2::3])
+
+
+def observe(pace: WorkerPace, seed: int, steps: int) -> None:
+    """Have steps of 30 uneven tasks run on workers, a third of them slow."""
+    rng = random.Random(seed)
+    for step in range(steps):
+        whole = rng.uniform(0.05, 0.2)
+        for _ in range(30):
+            worker = rng.choice(WORKERS)
+            factor = 1.3 if worker in SLOW else 1.0
+            seconds = whole * factor * math.exp(rng.gauss(0.0, 0.15))
+            pace.note((f"j{step}", 0, 0), worker, seconds)
+
+
+class TestPace:
+    """Tasks of one step are compared with each other."""
+
+    def test_most_slow_workers_are_found(self):
+        found = wrong = 0
+        for seed in range(10):
+            pace = WorkerPace()
+            observe(pace, seed, 10)
+            found += sum(map(pace.is_slow, SLOW))
+            wrong += sum(map(pace.is_slow, set(WORKERS) - SLOW))
+        assert found >= 0.8 * 10 * len(SLOW)
+        assert wrong <= 0.15 * 10 * (len(WORKERS) - len(SLOW))
+
+    def test_one_long_task_makes_no_worker_slow(self):
+        pace = WorkerPace()
+        for number in range(10):
+            pace.note(("j", 0, 0), f"w{number}", 0.1)
+        pace.note(("j", 0, 0), "w0", 0.5)
+        assert not pace.is_slow("w1")
+        assert not pace.is_slow("w11")
+
+    def test_worker_that_recovers(self):
+        pace = WorkerPace()
+        for number in range(30):
+            pace.note(("j", 0, 0), f"w{number % 10}", 0.1)
+        for _ in range(3):
+            pace.note(("j", 0, 0), "w0", 0.8)
+        assert pace.is_slow("w0")
+        for _ in range(25):
+            pace.note(("j", 0, 0), "w0", 0.1)
+        assert not pace.is_slow("w0")
+
+    def test_worker_that_is_gone(self):
+        pace = WorkerPace()
+        observe(pace, 1, 10)
+        slow = next(worker for worker in WORKERS if pace.is_slow(worker))
+        pace.forget(slow)
+        assert not pace.is_slow(slow)
+
+
+class TestMeasure:
+    """A pace is taken from what a run did while it was watched."""
+
+    def test_from_the_first_share_that_was_seen(self):
+        member = Member(0, "w0")
+        member.note_percent(40, 10.0)
+        assert measure_pace(member) is None
+        member.note_percent(60, 14.0)
+        assert measure_pace(member) == 0.2
+
+    def test_tasks_that_tell_nothing_of_their_worker(self):
+        assert is_comparable(gpu_step(1), "r1")
+        assert is_comparable(gpu_step(1, data_rack="r1"), "r1")
+        assert not is_comparable(gpu_step(1, data_rack="r1"), "r2")
+        assert not is_comparable(gpu_step(1, gang=True), "r1")
+
+
+class TestPlans:
+    """Urgent gangs run on workers that aren't slow, if they can."""
+
+    def test_free_room(self):
+        pool = Pool(workers=4)
+        pool.slow = {"w0", "w1"}
+        pair = (gpu_step(8, count=2, gang=True),)
+        pool.add(make_job("new", steps=pair, priority=0))
+        (start,) = pool.run().starts
+        assert set(start.workers) == {"w2", "w3"}
+
+    def test_no_wait_for_a_fast_worker_beside_a_free_one(self):
+        pool = Pool(workers=2)
+        pool.slow = {"w1"}
+        pool.add(make_job("old", steps=(gpu_step(8),)))
+        pool.run()
+        pool.add(make_job("new", steps=(gpu_step(8),), priority=0))
+        (start,) = pool.run().starts
+        assert start.workers == ("w1",)
+
+    def test_stops(self):
+        pool = Pool(workers=3)
+        for number in range(3):
+            pool.now_s += 1
+            pool.add(make_job(f"old{number}", steps=(gpu_step(8),)))
+            pool.run()
+        # The last one has run for the shortest time.
+        pool.slow = {"w2"}
+        pool.now_s += 5
+        pool.add(make_job("new", steps=(gpu_step(8),), priority=0))
+        plan = pool.run()
+        assert [victim.job_id for victim, _ in plan.stops] == ["old1"]
