Don't spread a gang over racks while it has a claim in one

An urgent gang that should share a rack ran for 22 s instead of 7, as it was given free workers in several racks while the stops that it had asked for in one rack were under way. Away from its rack a gang takes three times as long.

Ruled out: slow workers (their factor is 1.3).

After 1.5 s a gang may be spread, and a claim was left for any free room. Room elsewhere now ends the wait of a claim only if the rack is kept. The test fails on the code before.

--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -167,12 +167,16 @@
         return claim
 
     def _serve_claimant(self, waiting: WaitingUnit) -> None:
-        """Start a unit with a claim if that is possible now."""
+        """Start a unit with a claim if that is possible now.
+
+        Room elsewhere ends the wait only if the unit needn't be spread over
+        several racks there, as that costs more than the rest of the wait.
+        """
         claim = self._give_back(waiting)
         if self._has_room(waiting.step, claim.workers):
             self._start(waiting, claim.workers)
             return
-        workers = self._place(waiting, self._free)
+        workers = self._place(waiting, self._free, may_spread=False)
         if workers is None:
             self._claim(waiting, claim)
             return
@@ -278,10 +282,13 @@
             rooms[worker] = rooms[worker] - count_room(step)
 
     def _place(
-        self, waiting: WaitingUnit, rooms: dict[str, Resources]
+        self,
+        waiting: WaitingUnit,
+        rooms: dict[str, Resources],
+        may_spread: bool = True,
     ) -> tuple[str, ...] | None:
         for skipped in self._list_skipped(waiting):
-            workers = self._place_without(waiting, rooms, skipped)
+            workers = self._place_without(waiting, rooms, skipped, may_spread)
             if workers is not None:
                 return workers
         return None
@@ -291,9 +298,14 @@
         waiting: WaitingUnit,
         rooms: dict[str, Resources],
         skipped: frozenset[str],
+        may_spread: bool = True,
     ) -> tuple[str, ...] | None:
-        """Return where a unit fits if some workers are left out."""
+        """Return where a unit fits if some workers are left out.
+
+        One that has waited for a rack may be spread over several.
+        """
         state = self._state
+        waited_s = state.now_s - waiting.unit.waiting_since_s
         need = count_room(waiting.step)
         roomy = {
             worker: room
@@ -308,7 +320,7 @@
             state.workers,
             self._present(waiting),
             self._find_holding_racks(waiting.step),
-            state.now_s,
+            may_spread and waited_s >= DATA_WAIT_S,
         )
 
     def _list_skipped(self, waiting: WaitingUnit) -> list[frozenset[str]]:
--- a/hickorywing/policy/poolsearch.py
+++ b/hickorywing/policy/poolsearch.py
@@ -49,14 +49,14 @@
     workers: dict[str, WorkerFacts],
     present: Mapping[str, int],
     racks: frozenset[str],
-    now_s: float,
+    may_spread: bool,
 ) -> tuple[str, ...] | None:
     """Return a worker for each task of the unit, or ``None``.
 
     ``present`` counts the tasks of the same step that workers have already,
     ``racks`` are those that could hold the unit alone. A unit is placed whole.
-    Tasks that should share a rack wait a moment for room in one that could
-    hold them, and are else placed over several.
+    Tasks that should share a rack are placed over several if they may be,
+    or if no rack could hold them.
     """
     step = waiting.step
     allowed = find_allowed(step, rooms, workers)
@@ -65,8 +65,7 @@
         placed = fill_workers(step, count, group, rooms, present)
         if placed is not None:
             return placed
-    waited_s = now_s - waiting.unit.waiting_since_s
-    if wishes_rack(step) and racks and waited_s < DATA_WAIT_S:
+    if wishes_rack(step) and racks and not may_spread:
         return None
     return fill_workers(step, count, allowed, rooms, present)
 
--- a/tests/test_poolclaims.py
+++ b/tests/test_poolclaims.py
@@ -132,6 +132,22 @@
         assert plan.revised[0][1] is ClaimFault.ROOM_ELSEWHERE
         assert plan.claims == {}
 
+    def test_gang_with_a_claim_is_not_spread_over_racks(self):
+        pool = Pool(workers=6, rack_size=2)
+        old = self.fill(pool)
+        pair = (gpu_step(8, count=2, gang=True, one_rack=True),)
+        pool.add(make_job("new", steps=pair, priority=0))
+        stopped = {victim.job_id for victim, _ in pool.run().stops}
+        # One worker in each of the other racks comes free meanwhile.
+        left = [state for state in old if state.job.job_id not in stopped]
+        for state in (left[0], left[-1]):
+            (unit,) = state.units.values()
+            unit.end(unit.members[0], Ending.DONE)
+        pool.now_s += 2.0
+        plan = pool.run()
+        assert plan.starts == []
+        assert len(plan.claims) == 1
+
     def test_covered_work_takes_claims_of_uncovered_work(self):
         pool = Pool(workers=1)
         self.fill(pool)
