Follow which entries can have taken the role, and strike out those gone

After one entry was gone for good, an outage of the store that was longer than a lease ended running work: nobody could vouch for the holder any more.

Ruled out: entries that reach the store (each 'role offered' has read=null).

Cause: who has to be asked did not follow who is there. The row of an entry stayed for ever, and a new one was not asked until the holder's next read, up to 10 s later. The holder now follows the rows, which are in the pool's partition, tells in its lease row how far it knows them, and strikes out an entry that hasn't answered for 6 s while most others do. An entry competes only once the holder knows of it (or after 10 s where no holder is left to), and its takeover demands that its row is there. Vouching ends 10 s after the last read. The test of an entry that is gone before an outage fails on the code before, where nothing strikes it out.

--- a/hickorywing/handover.py
+++ b/hickorywing/handover.py
@@ -21,16 +21,9 @@
 from hickorywing.decisions import DecisionLog
 from hickorywing.httpclient import CallError
 from hickorywing.httpclient import HttpClient
-from hickorywing.jobrows import ENTRIES
-from hickorywing.jobrows import entry_key
-from hickorywing.jobrows import log_unreadable
 from hickorywing.logevents import LogEvent
+from hickorywing.peerbook import PeerBook
 from hickorywing.poollease import PoolLease
-from hickorywing.rows import Committed
-from hickorywing.rows import RowStore
-from hickorywing.rows import RowTransaction
-from hickorywing.rows import RowWrite
-from hickorywing.rows import StoreUnavailable
 from hickorywing.succession import OfferOutcome
 from hickorywing.web import add_route
 from hickorywing.web import answer_json
@@ -39,7 +32,6 @@
     "FindLease",
     "HandOverApi",
     "OfferAnswer",
-    "PeerBook",
     "RoleOffer",
     "offer_role",
 ]
@@ -49,7 +41,6 @@
 OFFER_TIMEOUT_S = 0.5
 # An entry answers a planned offer from memory.
 ASK_TIMEOUT_S = 0.2
-RETRY_S = 0.5
 # Three rounds reach the entries of a pool of hundreds of workers, well within
 # a lease; more at a time would make as many candidates of the same term.
 OFFERS_AT_ONCE = 12
@@ -87,55 +78,6 @@
     head_start_s: float = 0.0
 
 
-class PeerBook:
-    """Where the other entries are, as their rows say."""
-
-    def __init__(
-        self, name: str, address: str, store: RowStore, log: DecisionLog
-    ) -> None:
-        self.addresses: dict[str, str] = {}
-        self._name = name
-        self._address = address
-        self._store = store
-        self._log = log
-
-    async def register(self) -> None:
-        """Store this entry's own address, unless the store has it."""
-        key = entry_key(self._name)
-        value = self._address.encode()
-        while True:
-            try:
-                present = await self._store.read_row(key)
-            except StoreUnavailable:
-                await asyncio.sleep(RETRY_S)
-                continue
-            if present is not None and present.value == value:
-                return
-            answer = await self._store.commit(
-                RowTransaction((), (RowWrite(key, value),))
-            )
-            if isinstance(answer, Committed):
-                return
-            await asyncio.sleep(RETRY_S)
-
-    async def refresh(self) -> None:
-        """Read where the others are; keep what is known if that fails."""
-        try:
-            read = await self._store.read_part(ENTRIES, "")
-        except StoreUnavailable as error:
-            self._log.write(LogEvent.PEERS_NOT_READ, error=str(error))
-            return
-        addresses: dict[str, str] = {}
-        for row in read.rows:
-            if not row.value or row.key.key == self._name:
-                continue
-            try:
-                addresses[row.key.key] = row.value.decode()
-            except UnicodeDecodeError as error:
-                log_unreadable(self._log, row, error)
-        self.addresses = addresses
-
-
 async def offer_role(
     offer: RoleOffer, peers: PeerBook, http: HttpClient
 ) -> OfferOutcome:
--- a/hickorywing/jobrows.py
+++ b/hickorywing/jobrows.py
@@ -1,7 +1,7 @@
 """The rows that a pool keeps in the store.
 
 All rows of a pool share one partition, so that a controller's transaction can
-demand that its epoch is still the newest. ``entries`` is without partitions.
+demand that its epoch is still the newest.
 
 Every entry follows ``statuses``. It changes a few times in a job's life, while
 ``progress`` changes with each run, and a row of it may take 14 KB.
@@ -17,7 +17,8 @@
 leases      ``holder``          who controls the pool         candidates
 leases      ``epoch``           number of the present term    candidates
 agents      the agent's name    its address                   the agent
-entries     the entry's name    its address                   the entry
+entries     the entry's name    its address, since when       the entry; the
+                                                              holder deletes
 ==========  ==================  ============================  ==============
 """
 
@@ -47,6 +48,7 @@
     "REQUESTS",
     "STATUSES",
     "AgentRow",
+    "EntryRow",
     "LeaseRow",
     "RowUnreadable",
     "cancel_key",
@@ -92,12 +94,27 @@
     pool: str
 
 
+class EntryRow(msgspec.Struct, array_like=True):
+    """How an entry is reached that is a candidate for a pool's role.
+
+    ``since_s`` is when it registered, by the store's clock.
+    """
+
+    address: str
+    since_s: float
+
+
 class LeaseRow(msgspec.Struct, array_like=True):
-    """Who controls a pool; an empty holder has released it."""
+    """Who controls a pool; an empty holder has released it.
+
+    ``known`` is the store's version up to which the holder knows the entries
+    that have registered. An earlier build's row has none.
+    """
 
     holder: str
     epoch: int
     renewal: int
+    known: int = 0
 
 
 class UnitRow(msgspec.Struct, array_like=True):
@@ -162,9 +179,9 @@
     return RowKey(LEASES, pool, "epoch")
 
 
-def entry_key(name: str) -> RowKey:
+def entry_key(pool: str, name: str) -> RowKey:
     """Return the key of the row that tells where an entry is."""
-    return RowKey(ENTRIES, "", name)
+    return RowKey(ENTRIES, pool, name)
 
 
 def split_request_key(key: str) -> tuple[str, bool]:
--- a/hickorywing/logevents.py
+++ b/hickorywing/logevents.py
@@ -57,6 +57,8 @@
     LOAD_FAILED = "load failed"
     JOBS_LOADED = "jobs loaded"
     PEERS_NOT_READ = "peers not read"
+    ENTRY_REGISTERED = "entry registered"
+    ENTRY_STRUCK_OUT = "entry struck out"
 
     # Agents and workers come and go.
     AGENT_REGISTERED = "agent registered"
--- a/hickorywing/peersuccession.py
+++ b/hickorywing/peersuccession.py
@@ -5,11 +5,12 @@
 from hickorywing.decisions import DecisionLog
 from hickorywing.handover import offer_role
 from hickorywing.handover import pass_role
-from hickorywing.handover import PeerBook
 from hickorywing.handover import RoleOffer
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobrows import LeaseRow
 from hickorywing.logevents import LogEvent
+from hickorywing.peerbook import PeerBook
+from hickorywing.rows import RowExpectation
 from hickorywing.succession import OfferOutcome
 from hickorywing.succession import Succession
 from hickorywing.suspicion import is_holder_gone
@@ -36,6 +37,8 @@
         """Offer a term to all entries."""
         offer = RoleOffer(self._pool, epoch)
         outcome = await offer_role(offer, self._peers, self._http)
+        if outcome.vouched and not self._peers.is_complete():
+            outcome = OfferOutcome()
         self._log_outcome(epoch, outcome, planned=False)
         return outcome
 
@@ -59,6 +62,16 @@
             **asdict(outcome),
         )
 
+    def admit(
+        self, lease: LeaseRow, vacant: bool
+    ) -> tuple[RowExpectation, ...] | None:
+        """Return what a takeover expects, once others know of this entry."""
+        return self._peers.admit(lease, vacant)
+
+    def known_version(self) -> int:
+        """Return the store's version up to which all entries are known."""
+        return self._peers.known_version
+
     async def is_gone(self, lease: LeaseRow) -> bool:
         """Tell whether the holder is away, by this entry and others."""
         return await is_holder_gone(
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -20,7 +20,6 @@
 from hickorywing.clock import now_s
 from hickorywing.committer import Committer
 from hickorywing.decisions import DecisionLog
-from hickorywing.handover import PeerBook
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobrows import AgentRow
 from hickorywing.jobrows import AGENTS
@@ -38,6 +37,7 @@
 from hickorywing.jobrows import STATUSES
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
+from hickorywing.peerbook import PeerBook
 from hickorywing.peersuccession import PeerSuccession
 from hickorywing.policy.candidacy import count_head_start_s
 from hickorywing.policy.candidacy import Strength
@@ -46,6 +46,7 @@
 from hickorywing.policy.settling import Settling
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.poollease import PoolLease
+from hickorywing.rollcall import RollCall
 from hickorywing.rows import HistoryLost
 from hickorywing.rows import RowStore
 from hickorywing.rows import StoredRow
@@ -61,25 +62,24 @@
 AGENT_FEED_WAIT_S = 5.0
 TICK_S = 0.1
 COUNT_EVERY_S = 0.5
-# An entry that is new matters only if the store turns this one away just then.
-PEERS_EVERY_S = 10.0
-# Entries often start together, and the first holder before the others.
-FIRST_PEERS_S = 0.5
 SWEEP_EVERY_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
 class ControllerParts:
-    """What an entry shares with the controllers of all its pools."""
+    """What an entry shares with the controllers of all its pools.
+
+    ``address`` is where other entries reach it.
+    """
 
     name: str
+    address: str
     store: RowStore
     http: HttpClient
     view: ConfigurationView
     terms: ControllerTerms
     log: DecisionLog
     metrics: Metrics
-    peers: PeerBook
     strength: Strength = Strength()
 
 
@@ -88,36 +88,43 @@
 
     def __init__(self, pool: str, parts: ControllerParts) -> None:
         self.pool = pool
+        self.peers = PeerBook(
+            pool, parts.name, parts.address, parts.store, parts.log
+        )
         self.lease = PoolLease(
             pool,
             parts.name,
             parts.store,
             parts.log,
             parts.metrics,
-            PeerSuccession(pool, parts.peers, parts.http, parts.log),
+            PeerSuccession(pool, self.peers, parts.http, parts.log),
             count_head_start_s(parts.strength),
         )
         self._parts = parts
 
     async def run(self) -> None:
         """Compete for the pool and control it until cancelled."""
-        await self.lease.run(self._serve)
+        registering = asyncio.ensure_future(self.peers.keep_registered())
+        try:
+            await self.lease.run(self._serve)
+        finally:
+            registering.cancel()
 
     async def _serve(self) -> None:
-        """Control the pool for one term."""
-        refreshing = asyncio.ensure_future(self._refresh_peers())
+        """Control the pool for one term, and keep its list of candidates."""
+        parts = self._parts
+        call = RollCall(
+            self.pool, self.peers, parts.http, self.lease.holds, parts.log
+        )
+        beside = [
+            asyncio.ensure_future(self.peers.follow(self.lease.renew_soon)),
+            asyncio.ensure_future(call.run()),
+        ]
         try:
-            await Term(self.lease, self._parts).run()
+            await Term(self.lease, parts).run()
         finally:
-            refreshing.cancel()
-
-    async def _refresh_peers(self) -> None:
-        """Follow which entries there are, any of which may be a successor."""
-        pause_s = FIRST_PEERS_S
-        while True:
-            await self._parts.peers.refresh()
-            await asyncio.sleep(pause_s)
-            pause_s = min(2 * pause_s, PEERS_EVERY_S)
+            for task in beside:
+                task.cancel()
 
 
 class Term:
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -15,7 +15,6 @@
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
 from hickorywing.handover import HandOverApi
-from hickorywing.handover import PeerBook
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobdesk import JobDesk
 from hickorywing.logevents import LogEvent
@@ -92,9 +91,7 @@
         self._source = PlatformConfigurationSource(
             store, self._view, self._log, CONFIG_WAIT_S
         )
-        self._peers = PeerBook(settings.name, settings.link, store, self._log)
         tasks = [
-            guard_task(self._peers.register(), self._report),
             guard_task(self._source.run(), self._report),
             guard_task(cache.run(), self._report),
             guard_task(self._keep_controllers(store, http), self._report),
@@ -190,13 +187,13 @@
         )
         parts = ControllerParts(
             self._settings.name,
+            self._settings.link,
             store,
             http,
             self._view,
             terms,
             self._log,
             self._metrics,
-            self._peers,
             Strength(
                 self._settings.core_share * self._settings.core_speed,
                 self._settings.link_mbps,
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -65,6 +65,8 @@
 # Keeps two candidates from writing in the same instant.
 CANDIDATE_SPREAD_S = 0.1
 WATCH_S = 0.5
+# A process that has just started has registered within a few round trips.
+ADMISSION_RETRY_S = 0.02
 # For how long a stopping holder waits for the successor that has accepted: a
 # few calls to a slow store. The rest of its grace time is for its callers.
 HAND_OVER_S = 1.5
@@ -110,6 +112,8 @@
         self._consent_given = asyncio.Event()
         self.released = False
         self._lost = asyncio.Event()
+        # Set by what doesn't wait for the next renewal.
+        self._stir = asyncio.Event()
 
     def holds(self) -> bool:
         """Tell whether the lease is surely held now."""
@@ -159,6 +163,11 @@
                 reason=reason,
             )
             self._lost.set()
+            self._stir.set()
+
+    def renew_soon(self) -> None:
+        """Tell candidates without delay what has changed in the row."""
+        self._stir.set()
 
     def can_take(self) -> bool:
         """Tell whether this candidate could take the role now."""
@@ -213,6 +222,7 @@
         if self._lost.is_set():
             return
         self._lost.set()
+        self._stir.set()
         answer = await self._store.commit(
             self._transaction(LeaseRow("", self.epoch, self._renewal + 1))
         )
@@ -261,8 +271,14 @@
                 or lease.epoch == self._consented
             )
             still_s = at - still_since
-            if vacant or await self._is_over(lease, still_s):
-                if await self._take(rows, lease):
+            admission = self._succession.admit(lease, vacant)
+            if vacant and admission is None:
+                await asyncio.sleep(ADMISSION_RETRY_S)
+                continue
+            if admission is not None and (
+                vacant or await self._is_over(lease, still_s)
+            ):
+                if await self._take(rows, lease, admission):
                     return True
                 still_since = version = None
                 continue
@@ -293,7 +309,7 @@
         """Return for how long a lease that isn't renewed is left alone."""
         if still_s < SUSPECT_AFTER_S:
             return SUSPECT_AFTER_S - still_s
-        return LEASE_S - still_s
+        return max(RETRY_S, LEASE_S - still_s)
 
     async def _read_rows(self) -> tuple[dict[RowKey, StoredRow], int]:
         """Return the pool's rows and the version from which to follow them.
@@ -332,7 +348,10 @@
             change.cancel()
 
     async def _take(
-        self, rows: Mapping[RowKey, StoredRow], lease: LeaseRow
+        self,
+        rows: Mapping[RowKey, StoredRow],
+        lease: LeaseRow,
+        admission: tuple[RowExpectation, ...],
     ) -> bool:
         if not (self._consented_alone and lease.epoch == self._consented):
             pause_s = random.uniform(0, CANDIDATE_SPREAD_S)
@@ -349,6 +368,7 @@
                     RowExpectation(
                         epoch_key(self.pool), version_of(epoch_row)
                     ),
+                    *admission,
                 ),
                 (
                     RowWrite(
@@ -385,11 +405,17 @@
             # At a slow store the lease would run out during a further pause.
             left_s = max(0.0, sent_s + RENEW_EVERY_S - now_s())
             pause_s = left_s if confirmed else RETRY_S
-            await wait_for_event(self._lost, pause_s)
+            await wait_for_event(self._stir, pause_s)
+            self._stir.clear()
 
     async def _renew(self) -> bool:
         """Try one renewal; tell whether it is confirmed."""
-        wanted = LeaseRow(self.name, self.epoch, self._renewal + 1)
+        wanted = LeaseRow(
+            self.name,
+            self.epoch,
+            self._renewal + 1,
+            self._succession.known_version(),
+        )
         if self._tried_since_s is None:
             self._tried_since_s = now_s()
         # While the store reads well without it, a renewal is soon sent again.
--- /dev/null
+++ b/hickorywing/rollcall.py
@@ -0,0 +1,66 @@
+"""Strike out the entries that are gone from a pool's candidates."""
+
+import asyncio
+from collections.abc import Callable
+
+from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
+from hickorywing.httpclient import HttpClient
+from hickorywing.logevents import LogEvent
+from hickorywing.peerbook import PeerBook
+from hickorywing.policy.absences import Absences
+from hickorywing.suspicion import ask_holder
+from hickorywing.suspicion import Contact
+from hickorywing.suspicion import HolderCheck
+
+__all__ = ["RollCall"]
+
+# With dozens of entries some ten questions a second.
+CALL_EVERY_S = 2.0
+
+
+class RollCall:
+    """Asks all entries now and then while this one holds the role."""
+
+    def __init__(
+        self,
+        pool: str,
+        peers: PeerBook,
+        http: HttpClient,
+        holds: Callable[[], bool],
+        log: DecisionLog,
+    ) -> None:
+        self._pool = pool
+        self._peers = peers
+        self._http = http
+        self._holds = holds
+        self._log = log
+        self._absences = Absences()
+
+    async def run(self) -> None:
+        """Call the roll until cancelled."""
+        while True:
+            await asyncio.sleep(CALL_EVERY_S)
+            # Without the store nobody can be struck out.
+            if self._holds():
+                await self._call()
+
+    async def _call(self) -> None:
+        addresses = self._peers.addresses
+        contacts = await asyncio.gather(
+            *(
+                ask_holder(HolderCheck(self._pool, 0, address), self._http)
+                for address in addresses.values()
+            )
+        )
+        answered = {
+            name
+            for name, contact in zip(addresses, contacts, strict=True)
+            if contact is not Contact.SILENT
+        }
+        gone = self._absences.find_gone(addresses, answered, now_s())
+        for name in gone:
+            if await self._peers.strike_out(name):
+                self._log.write(
+                    LogEvent.ENTRY_STRUCK_OUT, pool=self._pool, entry=name
+                )
--- a/hickorywing/succession.py
+++ b/hickorywing/succession.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from hickorywing.jobrows import LeaseRow
+from hickorywing.rows import RowExpectation
 
 __all__ = ["NoSuccession", "OfferOutcome", "Succession"]
 
@@ -39,6 +40,19 @@
     async def is_gone(self, lease: LeaseRow) -> bool:
         """Tell whether the holder of a lease is surely away."""
 
+    @abstractmethod
+    def admit(
+        self, lease: LeaseRow, vacant: bool
+    ) -> tuple[RowExpectation, ...] | None:
+        """Return what a takeover expects, ``None`` while it has to wait.
+
+        Where the role is ``vacant`` there is no holder to compete with.
+        """
+
+    @abstractmethod
+    def known_version(self) -> int:
+        """Return the store's version up to which all entries are known."""
+
 
 class NoSuccession(Succession):
     """Leaves the role to whoever finds that its lease has run out."""
@@ -54,3 +68,13 @@
     async def is_gone(self, lease: LeaseRow) -> bool:
         """Take nobody for gone."""
         return False
+
+    def admit(
+        self, lease: LeaseRow, vacant: bool
+    ) -> tuple[RowExpectation, ...] | None:
+        """Let anybody take over."""
+        return ()
+
+    def known_version(self) -> int:
+        """Know of no other entry."""
+        return 0
--- a/hickorywing/suspicion.py
+++ b/hickorywing/suspicion.py
@@ -19,11 +19,11 @@
 
 from hickorywing.decisions import DecisionLog
 from hickorywing.handover import FindLease
-from hickorywing.handover import PeerBook
 from hickorywing.httpclient import CallError
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobrows import LeaseRow
 from hickorywing.logevents import LogEvent
+from hickorywing.peerbook import PeerBook
 from hickorywing.web import add_route
 from hickorywing.web import answer_json
 
--- /dev/null
+++ b/tests/test_peerbook.py
@@ -0,0 +1,121 @@
+"""Who may take a pool's role, and who has to be asked about it."""
+
+import asyncio
+
+import msgspec
+from poolhelpers import KeptLines
+
+from hickorywing.decisions import DecisionLog
+from hickorywing.jobrows import entry_key
+from hickorywing.jobrows import EntryRow
+from hickorywing.jobrows import LeaseRow
+from hickorywing.metrics import Metrics
+from hickorywing.peerbook import JOIN_WAIT_S
+from hickorywing.peerbook import PeerBook
+from hickorywing.standins.rowstore import MemoryRowStore
+
+
+class Books:
+    """The books of entries over one store, each kept up to date."""
+
+    def __init__(self) -> None:
+        self.store = MemoryRowStore()
+        self.clock_s = 1000.0
+        self.store.clock_s = lambda: self.clock_s
+        self.books: dict[str, PeerBook] = {}
+        self.tasks: list[asyncio.Task] = []
+
+    async def __aenter__(self) -> "Books":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def add(self, name: str, address: str = "") -> PeerBook:
+        """Have an entry register, and follow the others."""
+        log = DecisionLog(name, "entry", Metrics(name), KeptLines())
+        book = PeerBook("p", name, address or f"h-{name}", self.store, log)
+        self.books[name] = book
+        for part in (book.keep_registered(), book.follow(lambda: None)):
+            self.tasks.append(asyncio.ensure_future(part))
+        await self.wait(lambda: book.admit(LeaseRow("", 0, 0), True))
+        return book
+
+    async def wait(self, check) -> None:
+        async with asyncio.timeout(5):
+            while not check():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    def lease(self, holder: str) -> LeaseRow:
+        return LeaseRow(holder, 1, 1, self.books[holder].known_version)
+
+
+class TestAdmission:
+    """Only an entry that the holder knows of competes with it."""
+
+    async def test_once_the_holder_has_learned_of_it(self):
+        async with Books() as books:
+            await books.add("a")
+            before = books.lease("a")
+            b = await books.add("b")
+            assert b.admit(before, vacant=False) is None
+            await books.wait(lambda: b.admit(books.lease("a"), False))
+
+    async def test_registered_before_the_holder(self):
+        async with Books() as books:
+            b = await books.add("b")
+            await books.add("a")
+            await books.wait(lambda: b.admit(books.lease("a"), False))
+
+    async def test_after_a_while_if_the_holder_never_does(self):
+        async with Books() as books:
+            await books.add("a")
+            before = books.lease("a")
+            b = await books.add("b")
+            books.clock_s += JOIN_WAIT_S
+            assert b.admit(before, vacant=False)
+
+    async def test_at_once_where_nobody_holds_the_role(self):
+        async with Books() as books:
+            b = await books.add("b")
+            assert b.admit(LeaseRow("", 0, 0), vacant=True)
+
+    async def test_takeover_of_one_that_was_struck_out_fails(self):
+        async with Books() as books:
+            a = await books.add("a")
+            b = await books.add("b")
+            (expected,) = b.admit(LeaseRow("", 0, 0), vacant=True)
+            await books.wait(lambda: "b" in a.peers)
+            assert await a.strike_out("b")
+            assert await books.store.read_row(expected.key) is None
+
+    async def test_one_that_has_registered_anew_is_not_struck_out(self):
+        async with Books() as books:
+            a = await books.add("a")
+            await books.add("b")
+            await books.wait(lambda: "b" in a.peers)
+            row = msgspec.msgpack.encode(EntryRow("elsewhere", 0.0))
+            books.store.put(entry_key("p", "b"), row)
+            assert not await a.strike_out("b")
+
+
+class TestKnowledge:
+    """A holder knows all others as of a moment."""
+
+    async def test_entry_that_comes_and_is_struck_out(self):
+        async with Books() as books:
+            a = await books.add("a")
+            await books.add("b")
+            await books.wait(lambda: a.addresses == {"b": "h-b"})
+            assert a.is_complete()
+            books.store.put(entry_key("p", "b"), None)
+            await books.wait(lambda: a.addresses == {})
+
+    async def test_is_out_of_date_after_a_long_outage(self, monkeypatch):
+        async with Books() as books:
+            a = await books.add("a")
+            await books.wait(a.is_complete)
+            a.known_s -= JOIN_WAIT_S
+            assert not a.is_complete()
--- a/tests/test_poollease.py
+++ b/tests/test_poollease.py
@@ -17,6 +17,7 @@
 from hickorywing.poollease import PoolLease
 from hickorywing.poollease import read_holder_epoch
 from hickorywing.poollease import SUSPECT_AFTER_S
+from hickorywing.rows import RowExpectation
 from hickorywing.standins.rowstore import MemoryRowStore
 from hickorywing.standins.rowstore import StoreFault
 from hickorywing.succession import OfferOutcome
@@ -93,6 +94,12 @@
     async def is_gone(self, lease: LeaseRow) -> bool:
         return self.holder_gone
 
+    def admit(self, lease, vacant) -> tuple[RowExpectation, ...] | None:
+        return ()
+
+    def known_version(self) -> int:
+        return 0
+
     async def lose(self, name: str) -> None:
         """Have a candidate's VM vanish without a word."""
         task = self.tasks[name]
--- /dev/null
+++ b/tests/test_rollcall.py
@@ -0,0 +1,96 @@
+"""Entries that are gone don't keep others from vouching for a holder."""
+
+import asyncio
+import itertools
+
+import msgspec
+from poolhelpers import KeptLines
+
+from hickorywing import rollcall
+from hickorywing.decisions import DecisionLog
+from hickorywing.handover import OfferAnswer
+from hickorywing.httpclient import CallTimeout
+from hickorywing.httpclient import HttpAnswer
+from hickorywing.jobrows import entry_key
+from hickorywing.jobrows import EntryRow
+from hickorywing.logevents import LogEvent
+from hickorywing.metrics import Metrics
+from hickorywing.peerbook import PeerBook
+from hickorywing.peersuccession import PeerSuccession
+from hickorywing.policy.absences import Absences
+from hickorywing.policy.absences import GONE_AFTER_S
+from hickorywing.rollcall import RollCall
+from hickorywing.standins.rowstore import MemoryRowStore
+from hickorywing.suspicion import Contact
+from hickorywing.suspicion import SuspicionAnswer
+
+
+class Network:
+    """Entries e1 to e4 beside the holder e0; some don't answer."""
+
+    def __init__(self) -> None:
+        self.store = MemoryRowStore()
+        self.lost: set[str] = set()
+        self.output = KeptLines()
+        log = DecisionLog("e0", "entry", Metrics("e0"), self.output)
+        for number in range(1, 5):
+            row = msgspec.msgpack.encode(EntryRow(f"e{number}", 0.0))
+            self.store.put(entry_key("p", f"e{number}"), row)
+        self.book = PeerBook("p", "e0", "e0", self.store, log)
+        self.succession = PeerSuccession("p", self.book, self, log)
+        self.calls = RollCall("p", self.book, self, lambda: True, log)
+
+    async def call(self, method, url, timeout_s, body) -> HttpAnswer:
+        host, _, path = url.removeprefix("http://").partition("/")
+        if host in self.lost:
+            await asyncio.sleep(0)
+            raise CallTimeout(url)
+        answer: object = SuspicionAnswer(Contact.HOLDS_NOT)
+        if path == "take-role":
+            answer = OfferAnswer(vouches=True)
+        return HttpAnswer(200, msgspec.json.encode(answer))
+
+
+class TestOutageAfterALoss:
+    """An entry is gone for good, and later the store is silent for all."""
+
+    async def test_holder_is_vouched_for(self, monkeypatch):
+        network = Network()
+        await network.book.refresh()
+        network.lost = {"e2"}
+        assert not (await network.succession.offer(3)).vouched
+        clock_s = itertools.count(0.0, GONE_AFTER_S / 2)
+        monkeypatch.setattr(rollcall, "now_s", lambda: next(clock_s))
+        for _ in range(3):
+            await network.calls._call()
+        assert network.output.find(LogEvent.ENTRY_STRUCK_OUT)["entry"] == "e2"
+        assert await network.store.read_row(entry_key("p", "e2")) is None
+        assert (await network.succession.offer(3)).vouched
+
+    async def test_holder_that_is_cut_off_strikes_nobody_out(
+        self, monkeypatch
+    ):
+        network = Network()
+        await network.book.refresh()
+        network.lost = {"e1", "e2", "e3"}
+        clock_s = itertools.count(0.0, GONE_AFTER_S)
+        monkeypatch.setattr(rollcall, "now_s", lambda: next(clock_s))
+        for _ in range(4):
+            await network.calls._call()
+        assert len(network.book.addresses) == 4
+
+
+class TestAbsences:
+    """An entry is gone once it has not answered for a while."""
+
+    def test_not_after_a_restart(self):
+        absences = Absences()
+        absences.find_gone(["a", "b", "c"], ["a", "b", "c"], 0.0)
+        assert absences.find_gone(["a", "b", "c"], ["a", "b"], 5.0) == []
+        assert absences.find_gone(["a", "b", "c"], ["a", "b", "c"], 7.0) == []
+        assert absences.find_gone(["a", "b", "c"], ["a", "b"], 9.0) == []
+
+    def test_counts_from_the_first_question(self):
+        absences = Absences()
+        assert absences.find_gone(["a", "b", "c"], ["a", "b"], 100.0) == []
+        assert absences.find_gone(["a", "b", "c"], ["a", "b"], 106.0) == ["c"]
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -6,13 +6,14 @@
 from poolhelpers import KeptLines
 
 from hickorywing.decisions import DecisionLog
-from hickorywing.handover import PeerBook
 from hickorywing.httpclient import CallTimeout
 from hickorywing.httpclient import HttpAnswer
 from hickorywing.jobrows import entry_key
+from hickorywing.jobrows import EntryRow
 from hickorywing.jobrows import LeaseRow
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
+from hickorywing.peerbook import PeerBook
 from hickorywing.standins.rowstore import MemoryRowStore
 from hickorywing.suspicion import Contact
 from hickorywing.suspicion import is_holder_gone
@@ -25,8 +26,8 @@
     def __init__(self) -> None:
         self.store = MemoryRowStore()
         for number in range(5):
-            key = entry_key(f"e{number}")
-            self.store.put(key, f"h{number}".encode())
+            row = msgspec.msgpack.encode(EntryRow(f"h{number}", 0.0))
+            self.store.put(entry_key("p", f"e{number}"), row)
         # What each address answers; others are silent.
         self.contacts: dict[str, Contact] = {}
         self.output = KeptLines()
@@ -43,7 +44,7 @@
 
     async def suspect(self, holder: str = "e0") -> bool:
         log = DecisionLog("e1", "entry", Metrics("e1"), self.output)
-        peers = PeerBook("e1", "h1", self.store, log)
+        peers = PeerBook("p", "e1", "h1", self.store, log)
         lease = LeaseRow(holder, 3, 7)
         return await is_holder_gone("p", lease, peers, self, log)
 
--- a/tests/test_unreadable.py
+++ b/tests/test_unreadable.py
@@ -11,7 +11,6 @@
 import pytest
 
 from hickorywing.decisions import DecisionLog
-from hickorywing.handover import PeerBook
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobrows import AGENTS
 from hickorywing.jobrows import encode_job
@@ -51,15 +50,14 @@
         self.cache = StatusCache(self.store, log)
         parts = ControllerParts(
             "e0",
+            "127.0.0.1:1",
             self.store,
             self.http,
             ConfigurationView(),
             ControllerTerms(10.0, 5.0, 0.0),
             log,
             metrics,
-            PeerBook("e0", "127.0.0.1:1", self.store, log),
         )
-        self.peers = parts.peers
         self.controller = PoolController("p", parts)
         self.tasks: list[asyncio.Task] = []
         return self
@@ -105,7 +103,7 @@
         store.put(status_key("p", "j2"), JUNK)
         store.put(queue_key("p", "q"), JUNK)
         store.put(RowKey(AGENTS, "p", "vm1"), JUNK)
-        store.put(entry_key("e9"), JUNK)
+        store.put(entry_key("p", "e9"), JUNK)
 
     async def test_before_a_term(self):
         async with Entry() as entry:
