Take a worker whose process is gone as over at once

When workers crashed or were taken away without a word, urgent gangs with two members there waited 3.1 to 3.4 s before they could be placed again, until the workers were back or their leases had run out.

Trials that log each kind of error an agent sees of its worker: a crashed one breaks its connection and refuses the next ones (9 of 9 within 0.1 s); one that goes down and up by turns and goes on running times out (13 of 13), one that fails part of its requests resets them (50 of 50). So a refusal tells the loss of the process from a silence, which was ruled out for the other two.

An agent that is refused twice by a worker that has answered before now reports its incarnation as over, as for one that says that it leaves. One that has not answered yet may not listen yet and is waited for. The test fails on the code before, where the runs end with their leases.

--- a/hickorywing/httpclient.py
+++ b/hickorywing/httpclient.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+import errno
 import socket
 
 import aiohttp
@@ -23,6 +24,7 @@
     "CallError",
     "CallTimeout",
     "ConnectError",
+    "ConnectRefused",
     "HttpAnswer",
     "HttpClient",
 ]
@@ -49,6 +51,10 @@
     """Reports that no connection was made, so the call was not sent."""
 
 
+class ConnectRefused(ConnectError):  # noqa: N818
+    """Reports that nobody listens at the address."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """A complete answer; the names of headers ignore case."""
@@ -78,6 +84,11 @@
 def make_error(what: str, error: Exception) -> CallError:
     """Return the product's error for one of the library's."""
     message = f"{what}: {type(error).__name__}"
+    if (
+        isinstance(error, aiohttp.ClientConnectorError)
+        and error.os_error.errno == errno.ECONNREFUSED
+    ):
+        return ConnectRefused(message)
     if isinstance(
         error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
     ):
--- a/hickorywing/platform/runner.py
+++ b/hickorywing/platform/runner.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from hickorywing.httpclient import CallError
+from hickorywing.httpclient import ConnectRefused
 from hickorywing.httpclient import HttpAnswer
 from hickorywing.httpclient import HttpClient
 from hickorywing.orders import EndedRun
@@ -17,6 +18,7 @@
 from hickorywing.worker import Announcement
 from hickorywing.worker import Look
 from hickorywing.worker import Worker
+from hickorywing.worker import WorkerGone
 from hickorywing.worker import WorkerSilent
 
 __all__ = ["PlatformWorker", "decode_announcement"]
@@ -200,6 +202,8 @@
                 msgspec.json.encode(body),
                 {INSTANCE_HEADER: name},
             )
+        except ConnectRefused as error:
+            raise WorkerGone(str(error)) from error
         except CallError as error:
             raise WorkerSilent(str(error)) from error
         return decode_look(answer)
--- a/hickorywing/worker.py
+++ b/hickorywing/worker.py
@@ -11,13 +11,17 @@
 from hickorywing.orders import StopOrder
 from hickorywing.policy.poolmodel import Resources
 
-__all__ = ["Announcement", "Look", "Worker", "WorkerSilent"]
+__all__ = ["Announcement", "Look", "Worker", "WorkerGone", "WorkerSilent"]
 
 
 class WorkerSilent(Exception):  # noqa: N818
     """Reports that a look at the worker got no usable answer."""
 
 
+class WorkerGone(WorkerSilent):
+    """Reports that nobody listens where the worker should."""
+
+
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """What a worker says of itself; ``sequence`` rises with each one.
@@ -66,6 +70,8 @@
     ) -> Look:
         """Renew the lease and list the runs; raise ``WorkerSilent``.
 
+        ``WorkerGone`` says that its process isn't there.
+
         Waits up to ``wait_s`` for an end after number ``noted``. Ends up to
         that number are forgotten by the worker.
         """
--- a/hickorywing/workerwatch.py
+++ b/hickorywing/workerwatch.py
@@ -17,6 +17,7 @@
 from hickorywing.worker import Announcement
 from hickorywing.worker import Look
 from hickorywing.worker import Worker
+from hickorywing.worker import WorkerGone
 from hickorywing.worker import WorkerSilent
 
 __all__ = ["WorkerWatch"]
@@ -27,6 +28,9 @@
 # After an end was listed, the next look waits for the controller to note it.
 NOTE_WAIT_S = 0.3
 RETRY_S = 0.1
+# A worker whose process is gone runs nothing. A second refusal rules out one
+# that was met while a listener was replaced.
+GONE_AFTER_REFUSALS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +68,7 @@
         self._noted = 0
         self._busy = False
         self._silent = False
+        self._refusals = 0
         self._number = 1
         self._closing = False
         self._news = asyncio.Event()
@@ -130,10 +135,15 @@
         """Note that a worker has left; its runs have ended with it."""
         if self.announcement is None or self.announcement.name != name:
             return
-        self._log.write(LogEvent.WORKER_LEFT, worker=self.key)
+        self._end("it said so")
+
+    def _end(self, reason: str) -> None:
+        """Take in that the present incarnation is over."""
+        self._log.write(LogEvent.WORKER_LEFT, worker=self.key, reason=reason)
         self._left = self.key
         self.announcement = None
         self._present = False
+        self._silent = False
         self._look = None
         self._tell()
 
@@ -172,8 +182,10 @@
             )
         except WorkerSilent as error:
             self._note_silence(str(error))
+            self._note_refusal(error)
             await asyncio.sleep(RETRY_S)
             return
+        self._refusals = 0
         if look is None:
             return
         if look.born_ms != announcement.born_ms:
@@ -226,6 +238,18 @@
             )
             self._tell()
 
+    def _note_refusal(self, error: WorkerSilent) -> None:
+        """End an incarnation whose process has gone without a word.
+
+        A worker beside this process that hangs or is cut off doesn't refuse.
+        One that has not answered yet may not listen yet.
+        """
+        refused = isinstance(error, WorkerGone) and self._look is not None
+        self._refusals = self._refusals + 1 if refused else 0
+        if self._refusals >= GONE_AFTER_REFUSALS:
+            self._refusals = 0
+            self._end(str(error))
+
     def _take_look(self, look: Look, epoch: int) -> None:
         if self._silent:
             self._silent = False
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -9,6 +9,7 @@
 from hickorywing.httpclient import CallError
 from hickorywing.httpclient import CallTimeout
 from hickorywing.httpclient import ConnectError
+from hickorywing.httpclient import ConnectRefused
 from hickorywing.httpclient import HttpClient
 from hickorywing.table import HttpTable
 from hickorywing.workers import HttpWorker
@@ -97,3 +98,13 @@
         assert not isinstance(caught.value, ConnectError | CallTimeout)
         await http.close()
         server.close()
+
+
+class TestRefusedConnection:
+    """Nobody listens where a process should."""
+
+    async def test_differs_from_other_errors(self):
+        client = HttpClient()
+        with pytest.raises(ConnectRefused):
+            await client.call("GET", f"http://{free_address()}/", 1.0)
+        await client.close()
--- a/tests/test_workerwatch.py
+++ b/tests/test_workerwatch.py
@@ -15,6 +15,7 @@
 from hickorywing.worker import Announcement
 from hickorywing.worker import Look
 from hickorywing.worker import Worker
+from hickorywing.worker import WorkerGone
 from hickorywing.worker import WorkerSilent
 from hickorywing.workerwatch import WorkerWatch
 
@@ -25,6 +26,7 @@
     def __init__(self) -> None:
         self.born_ms = 100
         self.silent = False
+        self.gone = False
         self.epochs: list[int] = []
         self.starts: list[StartOrder] = []
         self.leases: list[int] = []
@@ -38,6 +40,8 @@
         return OrderAnswer(OrderOutcome.OK, 1000)
 
     async def look(self, name, epoch, lease_ms, noted, wait_s) -> Look:
+        if self.gone:
+            raise WorkerGone("connection refused")
         if self.silent:
             raise WorkerSilent("no answer")
         self.epochs.append(epoch)
@@ -259,3 +263,50 @@
         # It doesn't have to wait for this worker before it plans.
         assert report.worker == ""
         assert report.silent
+
+
+class TestVanishedProcess:
+    """The worker's process is gone, as in a crash, without a word."""
+
+    async def test_its_runs_are_over_at_once(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce())
+            await agent.ask(busy=True)
+            agent.worker.gone = True
+            began_s = now_s()
+            report = await agent.ask(busy=True)
+            while not report.left:
+                report = await agent.ask(busy=True)
+            # Well before any lease of it runs out.
+            assert now_s() - began_s < 1.5
+            assert report.left == "a1/i-1@100"
+            assert report.worker == ""
+
+    async def test_late_announcement_of_it_brings_nothing_back(self):
+        async with Agent() as agent:
+            agent.watch.announce(announce())
+            await agent.ask(busy=True)
+            agent.worker.gone = True
+            while not (await agent.ask(busy=True)).left:
+                pass
+            agent.watch.announce(announce(sequence=2))
+            report = await agent.ask(busy=True)
+            assert report.worker == ""
+
+    async def test_one_that_hangs_is_not_over(self):
+        async with Agent() as agent:
+            await agent.lose_worker()
+            report = await agent.ask(busy=True)
+            assert report.silent
+            assert report.worker == "a1/i-1@100"
+            assert report.left == ""
+
+    async def test_one_that_does_not_listen_yet_is_waited_for(self):
+        async with Agent() as agent:
+            agent.worker.gone = True
+            agent.watch.announce(announce())
+            await asyncio.sleep(0.5)
+            agent.worker.gone = False
+            report = await agent.ask()
+            while not report.worker:
+                report = await agent.ask()
