Let urgent work give way only where no workers serve instead

Cause: which workers to leave out was the outer choice, and whose work may be stopped the inner one, so all victims were tried before more workers. The order is now the other way round. Ruled out: that no other room was to be had, as the test has it and fails on the code before.

--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -250,18 +250,25 @@
         """Return what to keep for an urgent unit that can't start now.
 
         A run on a worker that fails it costs an attempt and a further claim,
-        so doubtful workers come in only where the others don't suffice.
+        so doubtful workers come in only where the others don't suffice. Other
+        urgent work gives way only where no workers do.
         """
-        tries = [*self._list_skipped(waiting), self._shunned(waiting)]
-        for skipped in dict.fromkeys(tries):
-            claim = self._find_claim_without(waiting, skipped)
-            if claim is not None:
-                return claim
+        skips = [*self._list_skipped(waiting), self._shunned(waiting)]
+        bounds = {waiting.priority, max(waiting.priority, URGENT)}
+        for bound in sorted(bounds, reverse=True):
+            for skipped in dict.fromkeys(skips):
+                claim = self._find_claim_without(waiting, skipped, bound)
+                if claim is not None:
+                    return claim
         return None
 
     def _find_claim_without(
-        self, waiting: WaitingUnit, skipped: frozenset[str]
+        self, waiting: WaitingUnit, skipped: frozenset[str], bound: int
     ) -> Claim | None:
+        """Return what to keep if some workers are left out.
+
+        Only work that is less urgent than the bound gives way.
+        """
         if self._is_freeing:
             workers = self._place_without(waiting, self._soon, skipped)
             if workers is not None:
@@ -269,7 +276,7 @@
         claim = self._await_ends(waiting, skipped)
         if claim is not None:
             return claim
-        workers = self._preempt(waiting, skipped)
+        workers = self._preempt(waiting, skipped, bound)
         return None if workers is None else Claim(workers)
 
     def _take(
@@ -415,20 +422,15 @@
         return Claim(workers, frozenset(awaited.items()), until_s)
 
     def _preempt(
-        self, waiting: WaitingUnit, skipped: frozenset[str]
+        self, waiting: WaitingUnit, skipped: frozenset[str], bound: int
     ) -> tuple[str, ...] | None:
-        """Stop the work that loses least; return where the unit then fits.
-
-        Other urgent work gives way only where the rest doesn't suffice.
-        """
-        bounds = sorted({waiting.priority, max(waiting.priority, URGENT)})
-        for bound in reversed(bounds):
-            best = self._find_sacrifice(waiting, skipped, bound)
-            if best is not None:
-                for item in best.victims:
-                    self._stop(item, waiting.unit)
-                return tuple(best.workers)
-        return None
+        """Stop the work that loses least; return where the unit then fits."""
+        best = self._find_sacrifice(waiting, skipped, bound)
+        if best is None:
+            return None
+        for item in best.victims:
+            self._stop(item, waiting.unit)
+        return tuple(best.workers)
 
     def _find_sacrifice(
         self, waiting: WaitingUnit, skipped: frozenset[str], bound: int
--- a/tests/test_poolplanner.py
+++ b/tests/test_poolplanner.py
@@ -114,6 +114,20 @@
         stopped = {victim.job_id for victim, _ in pool.run().stops}
         assert stopped == {"old0", "old1"}
 
+    def test_covered_work_takes_a_slow_worker_before_urgent_work(self):
+        pool = Pool(workers=2)
+        pool.guarantees = {"sure": 8}
+        whole = (gpu_step(8),)
+        pool.add(make_job("old", steps=whole, priority=2))
+        pool.run()
+        pool.add(make_job("urgent", steps=whole, priority=0))
+        pool.run()
+        (unit,) = pool.jobs["old"].units.values()
+        pool.slow = {unit.members[0].worker}
+        pool.now_s += 5
+        pool.add(make_job("covered", steps=whole, priority=0, customer="sure"))
+        assert [victim.job_id for victim, _ in pool.run().stops] == ["old"]
+
     def test_room_is_freed_on_workers_that_have_not_failed(self):
         pool = Pool(workers=2)
         self.fill(pool)
