--- /dev/null
+++ b/hickorywing/leaserows.py
@@ -0,0 +1,67 @@
+"""Read the rows that say who controls a pool, and in which term."""
+
+import asyncio
+
+from hickorywing.jobrows import decode_row
+from hickorywing.jobrows import lease_key
+from hickorywing.jobrows import LeaseRow
+from hickorywing.jobrows import RowUnreadable
+from hickorywing.rows import Commit
+from hickorywing.rows import RowStore
+from hickorywing.rows import StoredRow
+from hickorywing.rows import StoreUnavailable
+
+__all__ = [
+    "decode_epoch",
+    "decode_lease",
+    "name_of_outcome",
+    "read_holder_epoch",
+    "version_of",
+]
+
+# Longer than a read of a slow store; the limit of an offer is just above.
+READ_TIMEOUT_S = 0.4
+UNKNOWN_HOLDER = "?"
+
+
+async def read_holder_epoch(store: RowStore, pool: str) -> int | None:
+    """Return the term in the lease row, ``None`` if the store is silent."""
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            return decode_lease(await store.read_row(lease_key(pool))).epoch
+    except (StoreUnavailable, TimeoutError):
+        return None
+
+
+def name_of_outcome(answer: Commit) -> str:
+    """Return what became of a transaction, for a log line."""
+    return type(answer).__name__.lower()
+
+
+def version_of(row: StoredRow | None) -> int:
+    """Return a row's version, 0 when there is none."""
+    return 0 if row is None else row.version
+
+
+def decode_lease(row: StoredRow | None) -> LeaseRow:
+    """Return the lease in a row; a missing row is a released lease.
+
+    A row that can't be read counts as one of an unknown holder, so that it is
+    watched for a whole lease before anybody takes over.
+    """
+    if row is None or row.value is None:
+        return LeaseRow("", 0, 0)
+    try:
+        return decode_row(row.value, LeaseRow)
+    except RowUnreadable:
+        return LeaseRow(UNKNOWN_HOLDER, 0, 0)
+
+
+def decode_epoch(row: StoredRow | None) -> int:
+    """Return the epoch in a row, 0 if there is none that can be read."""
+    if row is None or row.value is None:
+        return 0
+    try:
+        return decode_row(row.value, int)
+    except RowUnreadable:
+        return 0
--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -21,7 +21,9 @@
 from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolmodel import WorkerFacts
 from hickorywing.policy.poolpreemption import choose_victims
+from hickorywing.policy.poolpreemption import count_spread
 from hickorywing.policy.poolpreemption import held_on
+from hickorywing.policy.poolpreemption import index_victims
 from hickorywing.policy.poolpreemption import release
 from hickorywing.policy.poolpreemption import RunningUnit
 from hickorywing.policy.poolpreemption import Sacrifice
@@ -505,26 +507,3 @@
         self._is_freeing = True
         release(self._soon, victim)
         self._plan.stops.append((victim.unit, unit))
-
-
-def index_victims(
-    running: Iterable[RunningUnit],
-) -> dict[str, list[RunningUnit]]:
-    """Return what may be stopped on each worker, the least loss first."""
-    found: dict[str, list[RunningUnit]] = {}
-    for item in sorted(running, key=lambda item: item.cost):
-        if item.unit.stopping:
-            continue
-        workers = {member.worker for member in item.unit.open_members()}
-        for worker in workers:
-            found.setdefault(worker, []).append(item)
-    return found
-
-
-def count_spread(running: Iterable[RunningUnit]) -> dict[tuple, Counter]:
-    """Count the open tasks of each step on each worker."""
-    spread: dict[tuple, Counter] = {}
-    for item in running:
-        counts = spread.setdefault(item.unit.step_key, Counter())
-        counts.update(member.worker for member in item.unit.open_members())
-    return spread
--- a/hickorywing/policy/poolpreemption.py
+++ b/hickorywing/policy/poolpreemption.py
@@ -20,7 +20,9 @@
     "RunningUnit",
     "Sacrifice",
     "choose_victims",
+    "count_spread",
     "held_on",
+    "index_victims",
     "price_cores",
     "release",
 ]
@@ -161,3 +163,26 @@
         if member.worker == worker:
             held = held + count_room(item.step)
     return held
+
+
+def index_victims(
+    running: Iterable[RunningUnit],
+) -> dict[str, list[RunningUnit]]:
+    """Return what may be stopped on each worker, the least loss first."""
+    found: dict[str, list[RunningUnit]] = {}
+    for item in sorted(running, key=lambda item: item.cost):
+        if item.unit.stopping:
+            continue
+        workers = {member.worker for member in item.unit.open_members()}
+        for worker in workers:
+            found.setdefault(worker, []).append(item)
+    return found
+
+
+def count_spread(running: Iterable[RunningUnit]) -> dict[tuple, Counter]:
+    """Count the open tasks of each step on each worker."""
+    spread: dict[tuple, Counter] = {}
+    for item in running:
+        counts = spread.setdefault(item.unit.step_key, Counter())
+        counts.update(member.worker for member in item.unit.open_members())
+    return spread
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -17,6 +17,7 @@
 from hickorywing.handover import HandOverApi
 from hickorywing.httpclient import HttpClient
 from hickorywing.jobdesk import JobDesk
+from hickorywing.leaserows import read_holder_epoch
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.platform.callers import CallerApi
@@ -29,7 +30,6 @@
 from hickorywing.poolcontroller import ControllerParts
 from hickorywing.poolcontroller import PoolController
 from hickorywing.poollease import PoolLease
-from hickorywing.poollease import read_holder_epoch
 from hickorywing.program import cancel_tasks
 from hickorywing.program import describe_reload
 from hickorywing.program import guard_task
--- a/hickorywing/poollease.py
+++ b/hickorywing/poollease.py
@@ -17,12 +17,15 @@
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
-from hickorywing.jobrows import decode_row
 from hickorywing.jobrows import epoch_key
 from hickorywing.jobrows import lease_key
 from hickorywing.jobrows import LeaseRow
 from hickorywing.jobrows import LEASES
-from hickorywing.jobrows import RowUnreadable
+from hickorywing.leaserows import decode_epoch
+from hickorywing.leaserows import decode_lease
+from hickorywing.leaserows import name_of_outcome
+from hickorywing.leaserows import read_holder_epoch
+from hickorywing.leaserows import version_of
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.rows import CHECK_AFTER_S
@@ -49,8 +52,6 @@
     "LEASE_S",
     "SUSPECT_AFTER_S",
     "PoolLease",
-    "decode_epoch",
-    "read_holder_epoch",
 ]
 
 # A holder that dies leaves its pool without decisions for one lease, so the
@@ -70,9 +71,6 @@
 # For how long a stopping holder waits for the successor that has accepted: a
 # few calls to a slow store. The rest of its grace time is for its callers.
 HAND_OVER_S = 1.5
-# Longer than a read of a slow store; the offer's own limit is just above.
-READ_TIMEOUT_S = 0.4
-UNKNOWN_HOLDER = "?"
 
 
 class PoolLease:
@@ -492,46 +490,3 @@
             (RowExpectation(key, self._version),),
             (RowWrite(key, msgspec.msgpack.encode(lease)),),
         )
-
-
-async def read_holder_epoch(store: RowStore, pool: str) -> int | None:
-    """Return the term in the lease row, ``None`` if the store is silent."""
-    try:
-        async with asyncio.timeout(READ_TIMEOUT_S):
-            return decode_lease(await store.read_row(lease_key(pool))).epoch
-    except (StoreUnavailable, TimeoutError):
-        return None
-
-
-def name_of_outcome(answer: Commit) -> str:
-    """Return what became of a transaction, for a log line."""
-    return type(answer).__name__.lower()
-
-
-def version_of(row: StoredRow | None) -> int:
-    """Return a row's version, 0 when there is none."""
-    return 0 if row is None else row.version
-
-
-def decode_lease(row: StoredRow | None) -> LeaseRow:
-    """Return the lease in a row; a missing row is a released lease.
-
-    A row that can't be read counts as one of an unknown holder, so that it is
-    watched for a whole lease before anybody takes over.
-    """
-    if row is None or row.value is None:
-        return LeaseRow("", 0, 0)
-    try:
-        return decode_row(row.value, LeaseRow)
-    except RowUnreadable:
-        return LeaseRow(UNKNOWN_HOLDER, 0, 0)
-
-
-def decode_epoch(row: StoredRow | None) -> int:
-    """Return the epoch in a row, 0 if there is none that can be read."""
-    if row is None or row.value is None:
-        return 0
-    try:
-        return decode_row(row.value, int)
-    except RowUnreadable:
-        return 0
