Import the limit of a read from where it is now

tests/test_platformstore.py could not be collected after the split of poollease. The constant is a public name of leaserows.

--- a/hickorywing/leaserows.py
+++ b/hickorywing/leaserows.py
@@ -12,6 +12,7 @@
 from hickorywing.rows import StoreUnavailable
 
 __all__ = [
+    "READ_TIMEOUT_S",
     "decode_epoch",
     "decode_lease",
     "name_of_outcome",
--- a/tests/test_platformstore.py
+++ b/tests/test_platformstore.py
@@ -7,9 +7,9 @@
 
 from hickorywing.clock import now_s
 from hickorywing.httpclient import HttpClient
+from hickorywing.leaserows import READ_TIMEOUT_S
 from hickorywing.metrics import Metrics
 from hickorywing.platform.store import PlatformStore
-from hickorywing.poollease import READ_TIMEOUT_S
 from hickorywing.rows import Committed
 from hickorywing.rows import HistoryLost
 from hickorywing.rows import Mismatch
