Send a commit again with the first answer of a store that was silent

After an outage nothing was placed and no end was stored for up to 0.7 s more.

Ruled out: the store (it answers from 22.35 on) and the lease (renewed with its next try).

A pause after a lost answer now ends with the first answer that any other call gets. The test needs the client's new wait and can't run on the code before.

--- a/hickorywing/committer.py
+++ b/hickorywing/committer.py
@@ -181,7 +181,7 @@
             if isinstance(answer, Refused) or answer == LOST:
                 await asyncio.sleep(QUICK_RETRY_S)
                 continue
-            await asyncio.sleep(pause_s)
+            await self._store.wait_reachable(pause_s)
             pause_s = min(2 * pause_s, LAST_RETRY_S)
 
     def _transaction(self, values: dict[RowKey, bytes]) -> RowTransaction:
--- a/hickorywing/platform/store.py
+++ b/hickorywing/platform/store.py
@@ -27,6 +27,7 @@
 from hickorywing.rows import StoreUnavailable
 from hickorywing.rows import TableRead
 from hickorywing.rows import Unknown
+from hickorywing.waiting import wait_for_event
 
 __all__ = ["PlatformStore"]
 
@@ -127,13 +128,21 @@
         self._url = f"http://{address}"
         self._http = http
         self._metrics = metrics
-        self._reachable = True
+        self._reachable = asyncio.Event()
+        self._reachable.set()
         # How far the store's clock is ahead of this process's.
         self._clock_ahead_s = 0.0
 
     def is_reachable(self) -> bool:
         """Tell whether the last call that ended got an answer."""
-        return self._reachable
+        return self._reachable.is_set()
+
+    async def wait_reachable(self, most_s: float) -> None:
+        """Wait for a time, less if a silent store answers a call meanwhile."""
+        if self.is_reachable():
+            await asyncio.sleep(most_s)
+        else:
+            await wait_for_event(self._reachable, most_s)
 
     def clock_s(self) -> float:
         """Return the store's steady clock by its latest answer."""
@@ -150,9 +159,9 @@
         try:
             answer = await self._http.call(method, url, timeout_s, body)
         except CallError:
-            self._reachable = False
+            self._reachable.clear()
             raise
-        self._reachable = True
+        self._reachable.set()
         return answer
 
     async def _call_watched(self, url: str, body: bytes) -> HttpAnswer:
--- a/hickorywing/rows.py
+++ b/hickorywing/rows.py
@@ -164,6 +164,10 @@
         """Tell whether the last call that ended got an answer."""
         return True
 
+    async def wait_reachable(self, most_s: float) -> None:
+        """Wait for a time, less if a silent store answers a call meanwhile."""
+        await asyncio.sleep(most_s)
+
     def clock_s(self) -> float:
         """Return the store's steady clock, the same for all processes.
 
--- a/tests/test_platformstore.py
+++ b/tests/test_platformstore.py
@@ -139,3 +139,31 @@
         monkeypatch.setattr(platformstore, "STARTED_S", now_s() - 1000.0)
         await store.read_row(KEY)
         assert abs(store.clock_s() - 1000.0) < 0.5
+
+
+class TestReturn:
+    """What a silent store held up goes on with its first answer."""
+
+    async def test_pause_ends_when_another_call_is_answered(self, served):
+        rows, store = served
+        rows.down = True
+        assert not isinstance(await store.commit(write(b"1")), Committed)
+        with pytest.raises(StoreUnavailable):
+            await store.read_row(KEY)
+        store._reachable.clear()
+        began_s = now_s()
+        pause = asyncio.ensure_future(store.wait_reachable(5.0))
+        await asyncio.sleep(0.05)
+        assert not pause.done()
+        rows.down = False
+        await store.read_row(KEY)
+        await pause
+        assert now_s() - began_s < 1.0
+
+    async def test_store_that_answers_is_left_alone_for_the_pause(
+        self, served
+    ):
+        _, store = served
+        began_s = now_s()
+        await store.wait_reachable(0.1)
+        assert now_s() - began_s >= 0.09
