--- a/hickorywing/tablefeed.py
+++ b/hickorywing/tablefeed.py
@@ -3,8 +3,8 @@
 Answers outages of the store. A call that is under way when the store comes
 back is never answered, and one that waits for news proves nothing until there
 is some. After a silence a feed therefore asks without waiting: such calls are
-given up soon, and the store answers the first that reaches it at once. One that
-was sent before another call of the process was answered is sent again.
+given up soon, and the store answers the first that reaches it at once. One
+that was sent before another call of the process was answered is sent again.
 """
 
 import asyncio
