Learn the workers' speeds from the members of gangs

What callers saw: urgent jobs that had waited for room were late, most of them with a member on one of the slower workers (a third takes 1.3 times as long).

Cause: speeds were learnt from tasks that are placed one by one only, as it was taken for granted that all members of a gang get on at the pace of the slowest. They don't: each reports its own share of work, only the end is common. Most work of a pool is gangs, so at the beginning of a term, and for hours on some pools, nothing was known, and a speed was the mean of several uneven tasks.

Ruled out: differing work of the members (their percents are equal but for the worker), declared times (the same job).

Change: members of a gang run are compared with each other, as tasks of equal work; other tasks of a step as before, with less weight. What is known of a worker corrects what its other groups say of theirs, so two gangs that share a worker tell all their workers apart. 'worker slow', 'worker usual', and the believed pace on 'run placed'. The order of workers in plans is unchanged.

A check demanded that a gang's members tell nothing of their workers; it is replaced by checks that lasting and filling tasks don't, and the tests of gangs. They fail before: no worker is known after one gang.

--- a/hickorywing/explain.py
+++ b/hickorywing/explain.py
@@ -63,6 +63,8 @@
         LogEvent.WORKER_LEFT,
         LogEvent.WORKER_SET_ASIDE,
         LogEvent.WORKER_SILENT,
+        LogEvent.WORKER_SLOW,
+        LogEvent.WORKER_USUAL,
         LogEvent.ZONE_IN,
         LogEvent.ZONE_OUT,
     }
--- a/hickorywing/logevents.py
+++ b/hickorywing/logevents.py
@@ -73,6 +73,8 @@
     WORKER_SILENT = "worker silent"
     WORKER_ANSWERS = "worker answers"
     WORKER_SET_ASIDE = "worker set aside"
+    WORKER_SLOW = "worker slow"
+    WORKER_USUAL = "worker usual"
     EPOCH_SEEN = "epoch seen"
 
     # A job is taken in or ends.
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -79,6 +79,7 @@
         self.plan_due = False
         self._held_since_s: float | None = None
         self._giving = False
+        self._slow: frozenset[str] = frozenset()
         self._pace = PlanPace()
         self._saves_stored_s = 0.0
         self._workers: dict[str, AgentLink] = {}
@@ -221,6 +222,7 @@
         plan = self._planning.make_plan(
             self.jobs.live.values(), self.jobs.members
         )
+        self.note_slow_workers()
         for assignment in plan.starts:
             self._place(assignment)
         for victim, unit in plan.stops:
@@ -232,6 +234,20 @@
                 first=unit.first, reason=fault,
             )  # fmt: skip
 
+    def note_slow_workers(self) -> None:
+        """Log which workers have turned out slow, or usual again."""
+        paces = self.reports.paces
+        slow = frozenset(filter(paces.is_slow, self._workers))
+        for worker in sorted(slow - self._slow):
+            self._log.write(
+                LogEvent.WORKER_SLOW,
+                worker=worker,
+                pace=round(paces.measure(worker), 2),
+            )
+        for worker in sorted((self._slow - slow) & self._workers.keys()):
+            self._log.write(LogEvent.WORKER_USUAL, worker=worker)
+        self._slow = slow
+
     def _place(self, assignment: Assignment) -> None:
         unit = assignment.unit
         state = self.jobs.place(unit, assignment.workers)
@@ -245,6 +261,9 @@
             workers=assignment.workers,
             config=self._view.configuration.version,
             waited_s=round(now_s() - unit.waiting_since_s, 3),
+            pace=round(
+                max(map(self.reports.paces.measure, assignment.workers)), 2
+            ),
         )
         self._metrics.observe(
             "placement_wait_seconds", now_s() - unit.waiting_since_s
--- a/hickorywing/runplanning.py
+++ b/hickorywing/runplanning.py
@@ -85,11 +85,7 @@
                 self._select(room, self._health.is_suspect),
                 self._select(room, self._health.is_proven),
                 self._claims,
-                frozenset(
-                    name
-                    for name in room.workers
-                    if self._health.pace.is_slow(name)
-                ),
+                frozenset(filter(self._health.pace.is_slow, room.workers)),
             )
         ).make_plan()
 
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -23,6 +23,8 @@
 from hickorywing.policy.poolstalls import is_stalled
 from hickorywing.policy.workerpace import is_comparable
 from hickorywing.policy.workerpace import measure_pace
+from hickorywing.policy.workerpace import name_group
+from hickorywing.policy.workerpace import WorkerPace
 from hickorywing.poollease import PoolLease
 from hickorywing.runorders import RunOrders
 
@@ -59,6 +61,11 @@
         self._metrics = metrics
         self._known: dict[str, KnownWorker] = {}
 
+    @property
+    def paces(self) -> WorkerPace:
+        """Return what the reports have told of the workers' speeds."""
+        return self._health.pace
+
     def take(self, link: AgentLink, report: WorkerReport) -> None:
         """Take in what an agent reports of its worker."""
         if report.epoch > self._lease.epoch:
@@ -260,7 +267,12 @@
         percent_s = measure_pace(member)
         if percent_s is not None:
             member.paced = True
-            self._health.pace.note(unit.step_key, report.worker, percent_s)
+            self._health.pace.note(
+                name_group(unit, item.step),
+                report.worker,
+                percent_s,
+                item.step.gang,
+            )
 
     def _check_stall(self, item: OpenMember) -> None:
         """Stop a run that stands still, so that it is placed elsewhere."""
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -281,6 +281,45 @@
                 control.runs.jobs.end_member(item, Ending.FAILED)
         assert kept.find(LogEvent.WORKER_SET_ASIDE)["worker"] == WORKER
 
+    async def test_worker_that_a_gang_shows_slow(self):
+        kept = KeptLines()
+        async with Control(output=kept) as control:
+            state = JobState(
+                make_job(steps=(gpu_step(8, count=2, gang=True),)), 1, 0.0
+            )
+            (unit,) = state.ready_units()
+            unit.place([WORKER, "vm2/w2@1"], now_s())
+            control.runs.jobs.add(state, restored=True)
+            for member, percent in zip(unit.members, (60, 80), strict=True):
+                member.note_percent(20, now_s() - 4.0)
+                task = f"j1.0.0.{member.index}"
+                report = WorkerReport(
+                    worker=member.worker,
+                    clock_ms=5000,
+                    looked_ms=5000,
+                    running=(RunningRun(task, 1, "", percent),),
+                )
+                link = FakeLink(member.worker)
+                control.runs.reports.take(link, report)
+            control.runs.note_slow_workers()
+        assert kept.find(LogEvent.WORKER_SLOW)["worker"] == WORKER
+        assert kept.find(LogEvent.WORKER_SLOW)["pace"] > 1.2
+
+    async def test_worker_that_is_slow_no_more(self):
+        kept = KeptLines()
+        async with Control(output=kept) as control:
+            link = self.report(control)
+            paces = control.runs.reports.paces
+            for worker, percent_s in ((WORKER, 0.2), ("vm2/w2@1", 0.1)):
+                paces.note(("j1", 0, 0, 1), worker, percent_s, equal=True)
+            control.runs.note_slow_workers()
+            for run in range(2, 12):
+                for worker in (WORKER, "vm2/w2@1"):
+                    paces.note(("j1", 0, 0, run), worker, 0.1, equal=True)
+            control.runs.note_slow_workers()
+        assert link.worker == WORKER
+        assert kept.find(LogEvent.WORKER_USUAL)["worker"] == WORKER
+
     async def test_commit_without_an_answer(self):
         kept = KeptLines()
         async with Control(output=kept) as control:
--- a/tests/test_workerpace.py
+++ b/tests/test_workerpace.py
@@ -10,6 +10,7 @@
 from hickorywing.policy.poolruns import Member
 from hickorywing.policy.workerpace import is_comparable
 from hickorywing.policy.workerpace import measure_pace
+from hickorywing.policy.workerpace import name_group
 from hickorywing.policy.workerpace import WorkerPace
 
 WORKERS = [f"w{number}" for number in range(52)]
@@ -68,6 +69,72 @@
         assert not pace.is_slow(slow)
 
 
+class TestGangs:
+    """Members of a gang have equal work, and each its own worker's pace."""
+
+    def observe_gangs(
+        self, seed: int, gangs: int
+    ) -> tuple[WorkerPace, set[str]]:
+        """Have gangs run, a third of their workers slow.
+
+        Returns also which workers had any. Percents are whole numbers.
+        """
+        rng = random.Random(seed)
+        pace = WorkerPace()
+        used = set()
+        for number in range(gangs):
+            whole_s = rng.uniform(3.0, 20.0)
+            for worker in rng.sample(WORKERS, rng.randint(2, 8)):
+                factor = 1.3 if worker in SLOW else 1.0
+                percent = math.floor(100 * max(1.5, 0.2 * whole_s) / whole_s)
+                percent = math.floor(percent / factor)
+                seconds = percent * whole_s * factor / 100
+                percent_s = (seconds + rng.uniform(0.0, 0.1)) / percent
+                pace.note((f"j{number}", 0, 0, 1), worker, percent_s, True)
+                used.add(worker)
+        return pace, used
+
+    def test_urgent_gang_on_workers_that_one_gang_has_shown_slow(self):
+        pace = WorkerPace()
+        for worker in WORKERS[:7]:
+            percent_s = 0.074 * (1.3 if worker in SLOW else 1.0)
+            pace.note(("j", 0, 0, 1), worker, percent_s, True)
+        assert set(filter(pace.is_slow, WORKERS)) == SLOW & set(WORKERS[:7])
+
+    def test_thirty_gangs_show_a_pool(self):
+        for seed in range(10):
+            pace, used = self.observe_gangs(seed, 30)
+            slow = set(filter(pace.is_slow, WORKERS))
+            assert len(slow & SLOW) >= 0.9 * len(SLOW & used), seed
+            assert len(slow - SLOW) <= 0.05 * len(used - SLOW), seed
+
+    def test_gang_of_slow_workers_is_known_by_a_later_one(self):
+        pace = WorkerPace()
+        for worker in ("w2", "w5"):
+            pace.note(("all slow", 0, 0, 1), worker, 0.13, True)
+        assert not pace.is_slow("w5")
+        for number, worker in enumerate(("w0", "w1", "w3", "w4")):
+            key = (f"mixed{number}", 0, 0, 1)
+            pace.note(key, "w2", 0.26, True)
+            pace.note(key, worker, 0.2, True)
+            pace.note(key, "w0", 0.2, True)
+        assert pace.is_slow("w2")
+        assert pace.is_slow("w5")
+        assert not any(map(pace.is_slow, ("w0", "w1", "w3", "w4")))
+
+    def test_runs_of_a_gang_are_groups_of_their_own(self):
+        pool = Pool(workers=2)
+        step = gpu_step(8, count=2, gang=True)
+        state = pool.add(make_job("j", steps=(step,)))
+        (unit,) = state.ready_units()
+        unit.place(["w0", "w1"], 0.0)
+        first = name_group(unit, step)
+        unit.place(["w0", "w1"], 1.0)
+        assert name_group(unit, step) != first
+        single = gpu_step(8)
+        assert name_group(unit, single) == unit.step_key
+
+
 class TestMeasure:
     """A pace is taken from what a run did while it was watched."""
 
@@ -82,7 +149,8 @@
         assert is_comparable(gpu_step(1), "r1")
         assert is_comparable(gpu_step(1, data_rack="r1"), "r1")
         assert not is_comparable(gpu_step(1, data_rack="r1"), "r2")
-        assert not is_comparable(gpu_step(1, gang=True), "r1")
+        assert not is_comparable(gpu_step(1, lasting=True), "r1")
+        assert not is_comparable(gpu_step(1, filler=True), "r1")
 
 
 class TestPlans:
