--- a/hickorywing/lateness.py
+++ b/hickorywing/lateness.py
@@ -3,7 +3,8 @@
 A job's time runs from the first request of its caller to the answer that
 shows it as completed. It is split along the chain of runs that ended last, so
 that the phases of a job add up to its time. Beside each phase stands the least
-that it could have taken; the rest is what a better decision might save.
+that it could have taken; the rest is what a better decision might save. Waits
+for stops have no least: room may be there before an urgent job comes.
 """
 
 from collections.abc import Iterable
@@ -18,10 +19,13 @@
 from hickorywing.jobstories import StoryReader
 from hickorywing.logclocks import correct_clocks
 from hickorywing.loglines import read_line
+from hickorywing.policy.poolsearch import URGENT
 
 __all__ = [
+    "LateAccount",
     "LateJob",
     "Phase",
+    "Tally",
     "account_late",
     "draw_late",
     "format_late",
@@ -37,12 +41,16 @@
 LOST_RUN = "lost run"
 CLOSING = "closing a lost run"
 RUNNING = "running"
-SLOW = "running longer than declared"
+SLOW = "running on slow workers"
+LONG = "running longer than declared"
 STORING = "ended, not stored"
 SHOWING = "stored, not shown"
 
-# Declared run times are off, so a run counts as slow only beyond this.
-SLOW_FACTOR = 1.5
+# Declared run times are off by up to this factor, so a run that took longer
+# met something else than its work.
+LONG_FACTOR = 2.0
+# Shorter phases of a job are left out of its line.
+LEAST_SHOWN_S = 0.05
 
 
 @dataclass(slots=True)
@@ -71,33 +79,77 @@
     phases: list[Phase] = field(default_factory=list)
 
 
-def account_late(texts: Iterable[str]) -> list[LateJob]:
-    """Return the accepted jobs that were late, the latest first.
+@dataclass(slots=True)
+class Tally:
+    """How many jobs of a kind were in time, late or never accepted."""
+
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
 
-    Jobs that were cancelled, or that no caller was told the end of because
-    they failed, are left out.
+
+@dataclass(slots=True)
+class LateAccount:
+    """The jobs that were late, the latest first, and how many weren't.
+
+    ``tallies`` are by priority, and for urgent jobs by the zone of the entry
+    that was asked first. Of jobs that were never accepted no line tells the
+    priority. Jobs that were cancelled, that have occurrences or last, or that
+    failed, are left out.
     """
+
+    late: list[LateJob] = field(default_factory=list)
+    tallies: dict[str, Tally] = field(default_factory=dict)
+
+
+def account_late(texts: Iterable[str]) -> LateAccount:
+    """Return the account of the jobs in logs."""
     lines = [line for line in map(read_line, texts) if line is not None]
     lines, _ = correct_clocks(lines)
     lines.sort(key=lambda line: line.at)
     reader = StoryReader()
     for line in lines:
         reader.take(line)
-    late = [
-        found
-        for story in reader.stories.values()
-        if (found := judge(story, reader)) is not None
-    ]
-    return sorted(late, key=lambda job: -job.total_s)
+    account = LateAccount()
+    for story in reader.stories.values():
+        count_story(account, story, reader)
+    account.late.sort(key=lambda job: -job.total_s)
+    account.tallies = dict(sorted(account.tallies.items()))
+    return account
+
+
+def count_story(
+    account: LateAccount, story: JobStory, reader: StoryReader
+) -> None:
+    """Take a job into the account."""
+    if story.cancelled or story.standing:
+        return
+    if story.accepted_s is None:
+        if story.refusals:
+            tally = account.tallies.setdefault("never accepted", Tally())
+            tally.refused += 1
+        return
+    names = [f"priority {story.priority}"]
+    if story.priority == URGENT:
+        names.append(f"urgent, {story.zone}")
+    tallies = [account.tallies.setdefault(name, Tally()) for name in names]
+    job = judge(story, reader)
+    if job is not None:
+        account.late.append(job)
+    elif story.shown_s is None:
+        return
+    for tally in tallies:
+        if job is None:
+            tally.in_time += 1
+        else:
+            tally.late += 1
 
 
 def judge(story: JobStory, reader: StoryReader) -> LateJob | None:
     """Return a job's account if it was late."""
-    if story.accepted_s is None or story.cancelled:
-        return None
     end_s = story.shown_s or reader.last_s
     chain = list(trace_chain(story))
-    work_s = sum(estimate_work_s(run) for run in chain if run.done)
+    work_s = sum(estimate_work_s(run, reader) for run in chain if run.done)
     if not work_s and story.shown_s is not None:
         return None
     objective_s = story.stretch * work_s + story.latency_target_s
@@ -116,12 +168,14 @@
     return job
 
 
-def estimate_work_s(run: Run) -> float:
-    """Return what a run would take on a sound worker, as far as is known."""
-    took_s = (run.ended_s or run.placed_s) - run.placed_s
+def estimate_work_s(run: Run, reader: StoryReader) -> float:
+    """Return what a run would take on sound, usual workers."""
+    began_s = run.started_s or run.placed_s
+    took_s = (run.ended_s or began_s) - began_s
+    work_s = took_s / max(1.0, reader.paces.measure(run.workers))
     if run.estimate_s <= 0:
-        return took_s
-    return min(took_s, SLOW_FACTOR * run.estimate_s)
+        return work_s
+    return min(work_s, LONG_FACTOR * run.estimate_s)
 
 
 def trace_chain(story: JobStory) -> Iterator[Run]:
@@ -174,10 +228,13 @@
         if run.done:
             started_s = min(run.started_s or at_s, run.ended_s)
             yield Phase(STARTING, started_s - at_s, started_s - at_s)
-            worked_s = run.ended_s - started_s
-            usual_s = min(worked_s, SLOW_FACTOR * run.estimate_s or worked_s)
-            yield Phase(RUNNING, usual_s, usual_s)
-            yield Phase(SLOW, worked_s - usual_s)
+            ran_s = run.ended_s - started_s
+            pace = max(1.0, reader.paces.measure(run.workers))
+            work_s = min(estimate_work_s(run, reader), ran_s)
+            slow_s = min((pace - 1) * work_s, ran_s - work_s)
+            yield Phase(RUNNING, work_s, work_s)
+            yield Phase(SLOW, slow_s)
+            yield Phase(LONG, ran_s - work_s - slow_s)
         else:
             broke_s = min(run.broke_s or run.ended_s, run.ended_s)
             yield Phase(f"{LOST_RUN}: {run.cause}", broke_s - at_s)
@@ -210,11 +267,7 @@
     ):
         idle_s = measure_overlap(from_s, to_s, reader.undecided)
         yield Phase(NO_CONTROLLER, idle_s)
-        took_s = max(0.0, to_s - from_s - idle_s)
-        least_s = 0.0
-        if name == WAITING_STOPS:
-            least_s = min(took_s, reader.usual_stop_s())
-        yield Phase(name, took_s, least_s)
+        yield Phase(name, max(0.0, to_s - from_s - idle_s))
 
 
 def measure_overlap(
@@ -254,35 +307,56 @@
     return dict(order)
 
 
-def format_late(late: list[LateJob]) -> list[str]:
-    """Return the account as lines of text: by phase, then by job."""
-    sums = sum_phases(late)
-    lines = [f"{'phase':40} {'jobs':>5} {'s':>8} {'least':>8} {'over':>8}"]
+def format_late(account: LateAccount) -> list[str]:
+    """Return the account as text: how many, by phase, then by job.
+
+    Urgent jobs have phases of their own, as others may wait for them.
+    """
+    lines = [f"{'jobs':40} {'in time':>8} {'late':>8} {'refused':>8}"]
     lines.extend(
-        f"{name:40} {jobs:5} {took_s:8.1f} {least_s:8.1f}"
-        f" {took_s - least_s:8.1f}"
-        for name, (jobs, took_s, least_s) in sums.items()
+        f"{name:40} {tally.in_time:8} {tally.late:8} {tally.refused:8}"
+        for name, tally in account.tallies.items()
     )
+    urgent = [job for job in account.late if job.priority == URGENT]
+    others = [job for job in account.late if job.priority != URGENT]
+    for name, late in (("urgent", urgent), ("others", others)):
+        lines.append("")
+        lines.extend(format_phases(name, late))
+    lines.append("")
+    lines.extend(format_job(job) for job in urgent + others)
+    return lines
+
+
+def format_phases(name: str, late: list[LateJob]) -> list[str]:
+    """Return the phases of late jobs and their sum as lines of text."""
+    sums = sum_phases(late)
     took_s = sum(item[1] for item in sums.values())
     least_s = sum(item[2] for item in sums.values())
-    lines.append(
-        f"{'all':40} {len(late):5} {took_s:8.1f} {least_s:8.1f}"
+    rows = [*sums.items(), ("all", (len(late), took_s, least_s))]
+    title = f"phases of late jobs, {name}"
+    lines = [f"{title:40} {'jobs':>5} {'s':>8} {'least':>8} {'over':>8}"]
+    lines.extend(
+        f"{phase:40} {jobs:5} {took_s:8.1f} {least_s:8.1f}"
         f" {took_s - least_s:8.1f}"
+        for phase, (jobs, took_s, least_s) in rows
     )
-    for job in late:
-        phases = ", ".join(
-            f"{phase.name} {phase.took_s:.2f}"
-            for phase in job.phases
-            if phase.took_s >= 0.05
-        )
-        end = "" if job.completed else " (never shown as completed)"
-        lines.append(
-            f"{job.job_id} priority {job.priority} took {job.total_s:.2f} s,"
-            f" objective {job.objective_s:.2f} s{end}: {phases}"
-        )
     return lines
 
 
+def format_job(job: LateJob) -> str:
+    """Return a late job with its longer phases."""
+    phases = ", ".join(
+        f"{phase.name} {phase.took_s:.2f}"
+        for phase in job.phases
+        if phase.took_s >= LEAST_SHOWN_S
+    )
+    end = "" if job.completed else " (never shown as completed)"
+    return (
+        f"{job.job_id} priority {job.priority} took {job.total_s:.2f} s,"
+        f" objective {job.objective_s:.2f} s{end}: {phases}"
+    )
+
+
 def draw_late(late: list[LateJob], file: Path) -> None:
     """Draw each phase with its least and the rest, as a PNG.
 
--- a/hickorywing/policy/poolmodel.py
+++ b/hickorywing/policy/poolmodel.py
@@ -111,6 +111,11 @@
     first_due_s: float = 0.0
     interval_s: float = 0.0
 
+    def is_standing(self) -> bool:
+        """Tell whether the job has no time to be completed within."""
+        lasts = any(step.lasting for step in self.steps)
+        return lasts or self.occurrences > 0
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerFacts:
--- a/hickorywing/policy/poolsearch.py
+++ b/hickorywing/policy/poolsearch.py
@@ -18,18 +18,23 @@
 
 __all__ = [
     "DATA_WAIT_S",
+    "URGENT",
     "WaitingUnit",
+    "count_slots",
     "fill_workers",
     "find_allowed",
     "find_holding_racks",
     "group_workers",
     "place_unit",
+    "wishes_rack",
 ]
 
 # A job that runs away from its data takes several times as long, so it first
 # waits a moment for room beside it, below the 3 s after which an idle task
 # counts as forgotten.
 DATA_WAIT_S = 1.5
+# The priority of urgent work that no guarantee covers; less is more urgent.
+URGENT = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hickorywing/uilogs.py
+++ b/hickorywing/uilogs.py
@@ -73,13 +73,13 @@
 
 def show_late(names: list[str], as_json: bool, png: str) -> None:
     """Print why jobs were late by phase, and draw it if a file is named."""
-    late = account_late(read_logs(names))
+    account = account_late(read_logs(names))
     if png:
-        draw_late(late, Path(png))
+        draw_late(account.late, Path(png))
     if as_json:
-        print(msgspec.json.encode(late).decode())
+        print(msgspec.json.encode(account).decode())
     else:
-        print("\n".join(format_late(late)))
+        print("\n".join(format_late(account)))
 
 
 def show_claims(names: list[str], as_json: bool) -> None:
