Keep room for urgent work before it comes

What callers saw: urgent jobs were late because less urgent work was stopped for them only after they had come, and what came free was on slow workers.

Cause: room was found in the moment of need. A stop takes 0.3 to 0.9 s here (about even, 900 of them read from the logs), and a gang waits for the last of its victims, so for most of what an objective leaves beside the work.

Change: less urgent work isn't begun on some workers ('policy/keptroom'): sound, fast ones, several of a rack; in one rack as many as the widest gang of late has needed, slow ones too. How many is what urgent work has needed at a time in the last 30 s, a quarter of the pool at most; none while less than half of the pool is in use. What would fit nowhere else may use them. They stay kept from plan to plan, so that what ends there isn't followed by new work.

--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from hickorywing.policy.keptroom import fits_beside
 from hickorywing.policy.poolclaims import Claim
 from hickorywing.policy.poolclaims import ClaimFault
 from hickorywing.policy.poolclaims import find_fault
@@ -38,6 +39,7 @@
 from hickorywing.policy.poolsearch import find_holding_racks
 from hickorywing.policy.poolsearch import group_workers
 from hickorywing.policy.poolsearch import place_unit
+from hickorywing.policy.poolsearch import URGENT
 from hickorywing.policy.poolsearch import WaitingUnit
 
 __all__ = ["Assignment", "Plan", "PlanInput", "Planner"]
@@ -45,8 +47,6 @@
 # An urgent unit waits this long for running work that is about to end, before
 # it stops any. A stop takes up to 0.4 s itself.
 END_WAIT_S = 0.5
-# The priority of urgent work that no guarantee covers.
-URGENT = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +79,7 @@
     that are being stopped will free there, ``claims`` what the last plan has
     kept. ``suspects`` have failed of late and come after all others;
     ``proven`` have completed something of late. ``slow`` workers take longer
-    than others for the same work.
+    than others for the same work. ``kept`` workers are kept for urgent work.
     """
 
     workers: dict[str, WorkerFacts]
@@ -92,6 +92,7 @@
     proven: frozenset[str] = frozenset()
     claims: Mapping[UnitKey, Claim] = field(default_factory=dict)
     slow: frozenset[str] = frozenset()
+    kept: frozenset[str] = frozenset()
 
 
 class Planner:
@@ -115,6 +116,7 @@
         self._plan = Plan()
         self._budget = ReservationBudget(state.workers, state.free)
         self._holding_racks: dict[Step, frozenset[str]] = {}
+        self._kept_from: dict[Step, frozenset[str]] = {}
         # Tasks of a step ask for the same, and room only shrinks in a plan.
         self._unplaceable: set[tuple] = set()
         self._releases = index_releases(state.running)
@@ -387,11 +389,22 @@
     def _shunned(self, waiting: WaitingUnit) -> frozenset[str]:
         """Return the workers that a unit must not be given to.
 
-        If its job has failed on all of them, none is left out.
+        If its job has failed on all of them, none is left out for that.
         """
-        if waiting.avoid >= self._state.workers.keys():
+        kept = self._find_kept_from(waiting)
+        if waiting.avoid >= self._state.workers.keys() - kept:
+            return kept
+        return waiting.avoid | kept
+
+    def _find_kept_from(self, waiting: WaitingUnit) -> frozenset[str]:
+        """Return the workers that are kept for more urgent work."""
+        step, state = waiting.step, self._state
+        if waiting.priority <= URGENT or not self._budget.is_busy:
             return frozenset()
-        return waiting.avoid
+        if step not in self._kept_from:
+            beside = fits_beside(step, state.workers, state.kept)
+            self._kept_from[step] = state.kept if beside else frozenset()
+        return self._kept_from[step]
 
     def _await_ends(
         self, waiting: WaitingUnit, skipped: frozenset[str]
--- a/hickorywing/policy/poolreservation.py
+++ b/hickorywing/policy/poolreservation.py
@@ -43,7 +43,11 @@
 
 
 class ReservationBudget:
-    """What one plan may keep for units that wait."""
+    """What one plan may keep for units that wait.
+
+    ``is_busy`` tells whether so much of the pool is in use that room may be
+    kept at all.
+    """
 
     def __init__(
         self,
@@ -52,7 +56,7 @@
     ) -> None:
         whole = sum((item.capacity for item in workers.values()), Resources())
         left = sum(free.values(), Resources())
-        self._is_busy = measure_use(whole, left) >= RESERVE_LEAST_USE
+        self.is_busy = measure_use(whole, left) >= RESERVE_LEAST_USE
         self._share = RESERVED_SHARE * whole.accelerators
         self._units = 0
         self._accelerators = 0
@@ -61,7 +65,7 @@
         """Tell whether room may be kept for one more unit."""
         if waited_s < RESERVE_AFTER_S or accelerators < RESERVE_ACCELERATORS:
             return False
-        if not self._is_busy:
+        if not self.is_busy:
             return False
         if self._units < RESERVED_UNITS:
             return True
--- a/hickorywing/runplanning.py
+++ b/hickorywing/runplanning.py
@@ -9,6 +9,7 @@
 from hickorywing.agentlink import AgentLink
 from hickorywing.clock import now_s
 from hickorywing.openmembers import OpenMember
+from hickorywing.policy.keptroom import KeptRoom
 from hickorywing.policy.poolclaims import Claim
 from hickorywing.policy.poolclaims import UnitKey
 from hickorywing.policy.poolguarantees import find_covered
@@ -53,6 +54,7 @@
         self._orders = orders
         self._terms = terms
         self._claims: dict[UnitKey, Claim] = {}
+        self._kept = KeptRoom()
 
     def make_plan(
         self, states: Collection[JobState], members: Iterable[OpenMember]
@@ -74,18 +76,25 @@
         if not waiting:
             return Plan()
         room = self._measure_room(members)
+        running = list(self._list_running(states, covered))
+        suspects = self._select(room, self._health.is_suspect)
+        slow = frozenset(filter(self._health.pace.is_slow, room.workers))
+        kept = self._kept.choose(
+            room.workers, waiting, running, suspects, slow, now_s()
+        )
         return Planner(
             PlanInput(
                 room.workers,
                 room.free,
                 room.coming,
                 waiting,
-                list(self._list_running(states, covered)),
+                running,
                 now_s(),
-                self._select(room, self._health.is_suspect),
+                suspects,
                 self._select(room, self._health.is_proven),
                 self._claims,
-                frozenset(filter(self._health.pace.is_slow, room.workers)),
+                slow,
+                kept,
             )
         ).make_plan()
 
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -2,6 +2,7 @@
 
 import json
 
+from hickorywing.policy.keptroom import KeptRoom
 from hickorywing.policy.poolguarantees import find_covered
 from hickorywing.policy.poolguarantees import rank_priority
 from hickorywing.policy.poolmodel import PoolJob
@@ -82,6 +83,7 @@
         self.proven: set[str] = set()
         self.slow: set[str] = set()
         self.claims: dict = {}
+        self.kept_room: KeptRoom | None = None
         self.now_s = 100.0
 
     def add(self, job: PoolJob) -> JobState:
@@ -125,6 +127,16 @@
             for state in self.jobs.values()
             for unit in state.running_units()
         ]
+        kept = frozenset()
+        if self.kept_room is not None:
+            kept = self.kept_room.choose(
+                room.workers,
+                waiting,
+                running,
+                frozenset(self.suspects),
+                frozenset(self.slow),
+                self.now_s,
+            )
         return Planner(
             PlanInput(
                 room.workers,
@@ -137,6 +149,7 @@
                 frozenset(self.proven),
                 self.claims,
                 frozenset(self.slow),
+                kept,
             )
         ).make_plan()
 
--- a/tests/poolreplay.py
+++ b/tests/poolreplay.py
@@ -18,6 +18,8 @@
 CAPACITY = Resources(64_000, 131_072, 8)
 STOP_S = 0.9
 PLAN_EVERY_S = 0.05
+# What slow workers take for work that takes 1 s on others.
+SLOW_PACE = 1.3
 
 
 @dataclass(slots=True)
@@ -39,6 +41,8 @@
         self.pool = Pool(workers, rack_size=6, capacity=CAPACITY)
         self.claims: dict[str, ClaimRecord] = {}
         self.urgent_waits: dict[str, float] = {}
+        self.submitted_s: dict[str, float] = {}
+        self.took_s: dict[str, float] = {}
         self.restarted = Counter()
         self._random = random.Random(seed)
         self._plans = 0
@@ -48,10 +52,20 @@
     def submit(self, job_id: str, step: Step, priority: int, work_s: float):
         """Hand a job in that runs for a time."""
         self._work_s[job_id] = work_s
+        self.submitted_s[job_id] = self.pool.now_s
         return self.pool.add(
             make_job(job_id, steps=(step,), priority=priority)
         )
 
+    def count_late(self, name: str, stretch: float) -> int:
+        """Count the jobs that took over ``stretch`` times their work."""
+        return sum(
+            self.took_s.get(job_id, float("inf"))
+            > stretch * self._work_s[job_id]
+            for job_id in self.submitted_s
+            if job_id.startswith(name)
+        )
+
     def pass_time(self, for_s: float) -> None:
         """Plan again and again while runs and stops end."""
         until_s = self.pool.now_s + for_s
@@ -67,6 +81,8 @@
         for start in plan.starts:
             unit = start.unit
             work_s = self._work_s[unit.job_id] * self._random.uniform(0.9, 1.1)
+            if self.pool.slow & set(start.workers):
+                work_s *= SLOW_PACE
             end_s = self.pool.now_s + work_s
             self._ends.append((end_s, unit, unit.run, Ending.DONE))
             self._note_start(unit)
@@ -111,5 +127,8 @@
                 unit.end(member, ending)
             if not unit.done:
                 unit.waiting_since_s = self.pool.now_s
+            elif unit.job_id not in self.took_s:
+                began_s = self.submitted_s[unit.job_id]
+                self.took_s[unit.job_id] = end_s - began_s
             self.pool.jobs[unit.job_id].update_status()
         self._ends = left
--- /dev/null
+++ b/tests/test_keptroom.py
@@ -0,0 +1,175 @@
+"""Room is kept for urgent work before it comes."""
+
+import functools
+import random
+
+from poolhelpers import gpu_step
+from poolhelpers import make_job
+from poolhelpers import Pool
+from poolreplay import CAPACITY
+from poolreplay import Replay
+
+from hickorywing.policy.keptroom import fits_beside
+from hickorywing.policy.keptroom import KeptRoom
+from hickorywing.policy.poolmodel import Resources
+from hickorywing.policy.poolmodel import Step
+from hickorywing.policy.poolruns import Ending
+
+SEEDS = range(3)
+# Urgent gangs that came before, as nothing is kept where none has come.
+LEARNT_AFTER = 8
+# A stop takes this long about once in two.
+USUAL_STOP_S = 0.6
+
+
+def draw_gang(
+    rng: random.Random, cores: int, memory_mb: int, width: float, most: int
+) -> Step:
+    """Return a gang of parts of workers or of whole ones."""
+    return Step(
+        count=min(most, 1 + int(rng.expovariate(1 / width))),
+        resources=Resources(cores, memory_mb, rng.choice((1, 2, 4, 8, 8))),
+        gang=True,
+        one_rack=rng.random() < 0.8,
+    )
+
+
+@functools.cache
+def replay_stream(seed: int, keeps: bool) -> Replay:
+    """Hand in urgent gangs for 30 s on a pool that other work fills."""
+    rng = random.Random(seed)
+    replay = Replay(24, seed)
+    replay.pool.slow = {f"w{number}" for number in range(2, 24, 3)}
+    if keeps:
+        replay.pool.kept_room = KeptRoom()
+    small = Step(resources=Resources(5_600, 8_200, 1), count=40)
+    for number in range(25):
+        if number % 4 == 0:
+            replay.submit(f"small{number}", small, 2, 9.0)
+        step = draw_gang(rng, 26_000, 53_000, 4.4, 6)
+        replay.submit(f"batch{number}", step, 1, 8.5)
+        step = draw_gang(rng, 7_500, 20_000, 2.0, 5)
+        name = "urgent" if number >= LEARNT_AFTER else "first"
+        replay.submit(f"{name}{number}", step, 0, rng.uniform(1.5, 4.0))
+        replay.pass_time(1.2)
+    replay.pass_time(6.0)
+    return replay
+
+
+class TestUrgentGangsOnFullPool:
+    """Urgent gangs are late for stops and slow workers on a full pool.
+
+    The load: 24 workers, a third of them slow, with more work than fits; an
+    urgent gang every 1.2 s.
+    """
+
+    def count_waits(self, keeps: bool) -> int:
+        """Count the urgent gangs that waited for longer than a stop."""
+        return sum(
+            wait_s >= USUAL_STOP_S
+            for seed in SEEDS
+            for job_id, wait_s in replay_stream(
+                seed, keeps
+            ).urgent_waits.items()
+            if job_id.startswith("urgent")
+        )
+
+    def test_half_of_the_waits_for_stops_are_gone(self):
+        before = self.count_waits(keeps=False)
+        assert self.count_waits(keeps=True) <= before / 2
+
+
+class TestChoice:
+    """Which workers are kept, and for whom."""
+
+    def fill(self, pool: Pool) -> None:
+        for number in range(len(pool.facts)):
+            pool.add(make_job(f"old{number}", steps=(gpu_step(8),)))
+        pool.run()
+
+    def choose(self, pool: Pool) -> frozenset[str]:
+        pool.run()
+        slow = frozenset(pool.slow)
+        return pool.kept_room.choose(
+            pool.facts, [], [], frozenset(), slow, pool.now_s
+        )
+
+    def make_pool(self, workers: int, rack_size: int = 6) -> Pool:
+        pool = Pool(workers, rack_size, CAPACITY)
+        pool.kept_room = KeptRoom()
+        return pool
+
+    def test_none_without_urgent_work(self):
+        pool = self.make_pool(12)
+        self.fill(pool)
+        assert self.choose(pool) == frozenset()
+
+    def test_as_much_as_urgent_work_has_needed(self):
+        pool = self.make_pool(24)
+        pool.add(make_job("u", steps=(gpu_step(4, count=4),), priority=0))
+        assert len(self.choose(pool)) == 2
+
+    def test_a_quarter_of_the_pool_at_most(self):
+        pool = self.make_pool(24)
+        pool.add(make_job("u", steps=(gpu_step(8, count=20),), priority=0))
+        assert len(self.choose(pool)) == 6
+
+    def test_fast_workers_of_one_rack(self):
+        pool = self.make_pool(24)
+        pool.slow = {"w2", "w5", "w8", "w11", "w14", "w17", "w20", "w23"}
+        pool.add(make_job("u", steps=(gpu_step(8, count=4),), priority=0))
+        kept = self.choose(pool)
+        assert not kept & pool.slow
+        assert len({pool.facts[worker].rack for worker in kept}) == 1
+
+    def test_whole_rack_for_a_gang_that_needs_one(self):
+        pool = self.make_pool(36)
+        pool.slow = {f"w{number}" for number in range(2, 36, 3)}
+        step = gpu_step(8, count=5, gang=True, one_rack=True)
+        pool.add(make_job("u", steps=(step,), priority=0))
+        kept = self.choose(pool)
+        assert len(kept) == 5
+        assert len({pool.facts[worker].rack for worker in kept}) == 1
+
+    def test_less_urgent_work_is_not_begun_there(self):
+        pool = self.make_pool(12, rack_size=12)
+        urgent = make_job("u", steps=(gpu_step(8, count=3),), priority=0)
+        state = pool.add(urgent)
+        pool.run()
+        for number in range(9):
+            pool.add(make_job(f"old{number}", steps=(gpu_step(8),)))
+        pool.run()
+        for unit in state.running_units():
+            for member in unit.open_members():
+                unit.end(member, Ending.DONE)
+        state.update_status()
+        pool.add(make_job("late", steps=(gpu_step(8),)))
+        assert pool.run().starts == []
+        pool.add(make_job("v", steps=urgent.steps, priority=0))
+        starts = [start.unit.job_id for start in pool.run().starts]
+        assert starts == ["v", "v", "v"]
+
+    def test_less_urgent_work_starts_on_a_pool_that_is_half_empty(self):
+        pool = self.make_pool(4)
+        pool.add(make_job("u", steps=(gpu_step(8),), priority=0))
+        pool.run()
+        pool.add(make_job("old", steps=(gpu_step(8, count=3),)))
+        assert len(pool.run().starts) == 3
+
+    def test_forgotten_after_a_while(self):
+        pool = self.make_pool(24)
+        job = pool.add(make_job("u", steps=(gpu_step(8),), priority=0))
+        assert len(self.choose(pool)) == 1
+        del pool.jobs[job.job.job_id]
+        pool.now_s += 31.0
+        assert self.choose(pool) == frozenset()
+
+    def test_what_fits_nowhere_else_may_use_it(self):
+        pool = self.make_pool(12)
+        facts = pool.facts
+        near = gpu_step(8, data_rack="r0")
+        rack = frozenset(f"w{number}" for number in range(6))
+        assert not fits_beside(near, facts, rack)
+        assert fits_beside(near, facts, frozenset({"w0"}))
+        assert fits_beside(gpu_step(8), facts, rack)
+        assert not fits_beside(gpu_step(8, 7, gang=True), facts, rack)
