Plan urgent work by the time at which it will be done

What callers saw: urgent jobs late on slow workers that happened to be free.

Cause: room that is free now came before pace. Where a slow worker takes longer than the objective allows at all (1.7 times the work, of 1.5), no start there can be in time, however early.

Change: an urgent unit that would end after its objective on the free workers, and in time after a usual stop on others, claims room on fast ones instead. A claim isn't ended by free room that would be late. Where both are in time, or none, it starts at once, as stops throw work away. The declared time stands for the work, on both sides of the comparison, so errors of it mostly cancel out. Only jobs of one step are planned so.

The tests of free slow workers fail on the code before ('new' started at once on the slow worker, in two of four; the others guard the old behaviour).

--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -47,6 +47,10 @@
 # An urgent unit waits this long for running work that is about to end, before
 # it stops any. A stop takes up to 0.4 s itself.
 END_WAIT_S = 0.5
+# A wait for stops; the longest ones take 0.9 s.
+STOP_WAIT_S = 0.7
+# From the end of a job's work until its caller has been told.
+ANSWER_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +83,8 @@
     that are being stopped will free there, ``claims`` what the last plan has
     kept. ``suspects`` have failed of late and come after all others;
     ``proven`` have completed something of late. ``slow`` workers take longer
-    than others for the same work. ``kept`` workers are kept for urgent work.
+    than others for the same work, ``paces`` tells how many times as long.
+    ``kept`` workers are kept for urgent work.
     """
 
     workers: dict[str, WorkerFacts]
@@ -93,6 +98,7 @@
     claims: Mapping[UnitKey, Claim] = field(default_factory=dict)
     slow: frozenset[str] = frozenset()
     kept: frozenset[str] = frozenset()
+    paces: Mapping[str, float] = field(default_factory=dict)
 
 
 class Planner:
@@ -181,7 +187,7 @@
             self._start(waiting, claim.workers)
             return
         workers = self._place(waiting, self._free, may_spread=False)
-        if workers is None:
+        if workers is None or self._is_late_on(waiting, workers):
             self._claim(waiting, claim)
             return
         self._plan.revised.append((waiting.unit, ClaimFault.ROOM_ELSEWHERE))
@@ -235,9 +241,13 @@
         """Start a unit or keep room for it; tell whether there was any."""
         workers = self._place(waiting, self._free)
         if workers is not None:
-            self._start(waiting, workers)
+            claim = self._find_sooner(waiting, workers)
+            if claim is None:
+                self._start(waiting, workers)
+            else:
+                self._claim(waiting, claim)
             return True
-        if waiting.priority > 0:
+        if waiting.priority > URGENT:
             workers = self._reserve(waiting)
             if workers is not None:
                 self._take(self._free, waiting.step, workers)
@@ -250,6 +260,29 @@
             self._claim(waiting, claim)
         return claim is not None
 
+    def _is_late_on(
+        self, waiting: WaitingUnit, workers: Iterable[str]
+    ) -> bool:
+        """Tell whether a unit would end too late if it started there now."""
+        pace = max(self._state.paces.get(worker, 1.0) for worker in workers)
+        return waiting.step.estimate_s * pace + ANSWER_S > waiting.left_s
+
+    def _find_sooner(
+        self, waiting: WaitingUnit, workers: Iterable[str]
+    ) -> Claim | None:
+        """Return what to wait for rather than start on slow workers now.
+
+        That is only worth what it stops if the unit is late on the slow
+        workers and in time on others.
+        """
+        if waiting.priority > URGENT or not self._is_late_on(waiting, workers):
+            return None
+        ready_s = STOP_WAIT_S + waiting.step.estimate_s + ANSWER_S
+        if ready_s > waiting.left_s:
+            return None
+        skipped = self._list_skipped(waiting)[0]
+        return self._find_claim_without(waiting, skipped, URGENT)
+
     def _find_claim(self, waiting: WaitingUnit) -> Claim | None:
         """Return what to keep for an urgent unit that can't start now.
 
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -24,6 +24,7 @@
     "TaskName",
     "Unit",
     "format_task",
+    "measure_left_s",
     "parse_task",
 ]
 
@@ -368,6 +369,20 @@
         return all(unit.done for unit in self.units.values())
 
 
+def measure_left_s(state: JobState, now_s: float) -> float:
+    """Return the time in which a job should be shown as completed.
+
+    Declared times stand for the work. It is infinite for jobs of several
+    steps or occurrences, and for those that last.
+    """
+    job = state.job
+    if len(job.steps) != 1 or job.is_standing():
+        return float("inf")
+    terms = job.terms
+    due_s = terms.stretch * job.steps[0].estimate_s + terms.latency_target_s
+    return state.seen_s + due_s - now_s
+
+
 def split_step(step: Step) -> Iterator[tuple[int, int]]:
     """Return the first index and the number of tasks of each unit."""
     if step.gang:
--- a/hickorywing/policy/poolsearch.py
+++ b/hickorywing/policy/poolsearch.py
@@ -39,13 +39,18 @@
 
 @dataclass(frozen=True, slots=True)
 class WaitingUnit:
-    """A unit whose turn has come; ``avoid`` are workers not to be used."""
+    """A unit whose turn has come; ``avoid`` are workers not to be used.
+
+    ``left_s`` is the time in which its job should be shown as completed,
+    infinite where that isn't decided by this unit alone.
+    """
 
     unit: Unit
     step: Step
     priority: int
     order: tuple[float, ...]
     avoid: frozenset[str] = frozenset()
+    left_s: float = float("inf")
 
 
 def place_unit(
--- a/hickorywing/runplanning.py
+++ b/hickorywing/runplanning.py
@@ -26,6 +26,7 @@
 from hickorywing.policy.poolroom import measure_room
 from hickorywing.policy.poolroom import PoolRoom
 from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolruns import measure_left_s
 from hickorywing.policy.poolsearch import WaitingUnit
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.runorders import RunOrders
@@ -95,6 +96,7 @@
                 self._claims,
                 slow,
                 kept,
+                {name: self._health.pace.measure(name) for name in slow},
             )
         ).make_plan()
 
@@ -117,6 +119,7 @@
                     priority,
                     (float(state.accepted), unit.occurrence, unit.first),
                     state.list_failed_on(now_s()),
+                    measure_left_s(state, now_s()),
                 )
 
     def _list_running(
--- a/tests/poolhelpers.py
+++ b/tests/poolhelpers.py
@@ -19,6 +19,7 @@
 from hickorywing.policy.poolprogress import WorkerTerms
 from hickorywing.policy.poolroom import measure_room
 from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolruns import measure_left_s
 from hickorywing.policy.poolsearch import WaitingUnit
 
 
@@ -82,6 +83,7 @@
         self.suspects: set[str] = set()
         self.proven: set[str] = set()
         self.slow: set[str] = set()
+        self.slow_pace = 1.3
         self.claims: dict = {}
         self.kept_room: KeptRoom | None = None
         self.now_s = 100.0
@@ -107,6 +109,7 @@
                 rank_priority(state, covered),
                 (float(state.accepted),),
                 state.list_failed_on(self.now_s),
+                measure_left_s(state, self.now_s),
             )
             for state in self.jobs.values()
             for unit in state.ready_units()
@@ -150,6 +153,7 @@
                 self.claims,
                 frozenset(self.slow),
                 kept,
+                dict.fromkeys(self.slow, self.slow_pace),
             )
         ).make_plan()
 
--- a/tests/test_workerpace.py
+++ b/tests/test_workerpace.py
@@ -7,6 +7,8 @@
 from poolhelpers import make_job
 from poolhelpers import Pool
 
+from hickorywing.policy.poolplanner import Plan
+from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import Member
 from hickorywing.policy.workerpace import is_comparable
 from hickorywing.policy.workerpace import measure_pace
@@ -194,6 +196,49 @@
         (start,) = pool.run().starts
         assert start.workers == ("w1",)
 
+    def plan_beside_fast(self, slow_pace: float, waited_s: float) -> Plan:
+        """Hand an urgent job in with a slow worker free, a fast one not."""
+        pool = Pool(workers=2)
+        pool.slow, pool.slow_pace = {"w1"}, slow_pace
+        pool.add(make_job("old", steps=(gpu_step(8),)))
+        pool.run()
+        step = gpu_step(8, estimate_s=3.0)
+        pool.add(make_job("new", steps=(step,), priority=0))
+        pool.now_s += waited_s
+        return pool.run()
+
+    def test_stop_on_a_fast_worker_if_a_slow_one_ends_too_late(self):
+        # 2 times the work and 1 s are allowed.
+        plan = self.plan_beside_fast(slow_pace=2.5, waited_s=0.0)
+        assert plan.starts == []
+        assert [victim.job_id for victim, _ in plan.stops] == ["old"]
+
+    def test_slow_worker_that_ends_in_time(self):
+        plan = self.plan_beside_fast(slow_pace=1.3, waited_s=0.0)
+        assert plan.stops == []
+        assert len(plan.starts) == 1
+
+    def test_no_stop_for_what_is_late_anyway(self):
+        plan = self.plan_beside_fast(slow_pace=2.5, waited_s=3.5)
+        assert plan.stops == []
+        assert len(plan.starts) == 1
+
+    def test_claim_on_a_fast_worker_outlasts_a_free_slow_one(self):
+        pool = Pool(workers=2)
+        pool.slow, pool.slow_pace = {"w1"}, 2.5
+        pool.add(make_job("old", steps=(gpu_step(8),)))
+        pool.run()
+        step = gpu_step(8, estimate_s=3.0)
+        pool.add(make_job("new", steps=(step,), priority=0))
+        for _ in range(3):
+            assert pool.run().starts == []
+        (victim,) = pool.jobs["old"].running_units()
+        for member in list(victim.open_members()):
+            victim.end(member, Ending.STOPPED)
+        starts = {start.unit.job_id: start.workers
+                  for start in pool.run().starts}  # fmt: skip
+        assert starts == {"new": ("w0",), "old": ("w1",)}
+
     def test_stops(self):
         pool = Pool(workers=3)
         for number in range(3):
