--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -9,9 +9,6 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
 
 from hickorywing.policy.keptroom import fits_beside
 from hickorywing.policy.poolclaims import Claim
@@ -20,7 +17,9 @@
 from hickorywing.policy.poolclaims import UnitKey
 from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolmodel import Step
-from hickorywing.policy.poolmodel import WorkerFacts
+from hickorywing.policy.poolplans import Assignment
+from hickorywing.policy.poolplans import Plan
+from hickorywing.policy.poolplans import PlanInput
 from hickorywing.policy.poolpreemption import choose_victims
 from hickorywing.policy.poolpreemption import count_spread
 from hickorywing.policy.poolpreemption import held_on
@@ -42,7 +41,7 @@
 from hickorywing.policy.poolsearch import URGENT
 from hickorywing.policy.poolsearch import WaitingUnit
 
-__all__ = ["Assignment", "Plan", "PlanInput", "Planner"]
+__all__ = ["Planner"]
 
 # An urgent unit waits this long for running work that is about to end, before
 # it stops any. A stop takes up to 0.4 s itself.
@@ -53,54 +52,6 @@
 ANSWER_S = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class Assignment:
-    """A unit and the worker for each of its tasks."""
-
-    unit: Unit
-    workers: tuple[str, ...]
-
-
-@dataclass(slots=True)
-class Plan:
-    """What to start now and what to stop for whom.
-
-    ``claims`` is the room that waiting units keep up to the next plan,
-    ``revised`` the units that have lost a claim, and why.
-    """
-
-    starts: list[Assignment] = field(default_factory=list)
-    stops: list[tuple[Unit, Unit]] = field(default_factory=list)
-    claims: dict[UnitKey, Claim] = field(default_factory=dict)
-    revised: list[tuple[Unit, ClaimFault]] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class PlanInput:
-    """The state that a plan is made from.
-
-    ``free`` is the room of each usable worker now, ``coming`` what members
-    that are being stopped will free there, ``claims`` what the last plan has
-    kept. ``suspects`` have failed of late and come after all others;
-    ``proven`` have completed something of late. ``slow`` workers take longer
-    than others for the same work, ``paces`` tells how many times as long.
-    ``kept`` workers are kept for urgent work.
-    """
-
-    workers: dict[str, WorkerFacts]
-    free: dict[str, Resources]
-    coming: dict[str, Resources]
-    waiting: list[WaitingUnit]
-    running: list[RunningUnit]
-    now_s: float
-    suspects: frozenset[str] = frozenset()
-    proven: frozenset[str] = frozenset()
-    claims: Mapping[UnitKey, Claim] = field(default_factory=dict)
-    slow: frozenset[str] = frozenset()
-    kept: frozenset[str] = frozenset()
-    paces: Mapping[str, float] = field(default_factory=dict)
-
-
 class Planner:
     """Makes one plan."""
 
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -22,7 +22,7 @@
 from hickorywing.policy.brokengangs import has_broken_others
 from hickorywing.policy.planpace import PlanPace
 from hickorywing.policy.poolhealth import WorkerHealth
-from hickorywing.policy.poolplanner import Assignment
+from hickorywing.policy.poolplans import Assignment
 from hickorywing.policy.poolprogress import WorkerTerms
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import Unit
--- a/hickorywing/runplanning.py
+++ b/hickorywing/runplanning.py
@@ -16,9 +16,9 @@
 from hickorywing.policy.poolguarantees import rank_priority
 from hickorywing.policy.poolhealth import WorkerHealth
 from hickorywing.policy.poolmodel import WorkerFacts
-from hickorywing.policy.poolplanner import Plan
-from hickorywing.policy.poolplanner import PlanInput
 from hickorywing.policy.poolplanner import Planner
+from hickorywing.policy.poolplans import Plan
+from hickorywing.policy.poolplans import PlanInput
 from hickorywing.policy.poolpreemption import RunningUnit
 from hickorywing.policy.poolprogress import estimate_left_s
 from hickorywing.policy.poolprogress import estimate_lost_s
--- a/tests/poolreplay.py
+++ b/tests/poolreplay.py
@@ -10,7 +10,7 @@
 
 from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolmodel import Step
-from hickorywing.policy.poolplanner import Plan
+from hickorywing.policy.poolplans import Plan
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import Unit
 
--- a/tests/test_workerpace.py
+++ b/tests/test_workerpace.py
@@ -7,7 +7,7 @@
 from poolhelpers import make_job
 from poolhelpers import Pool
 
-from hickorywing.policy.poolplanner import Plan
+from hickorywing.policy.poolplans import Plan
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import Member
 from hickorywing.policy.workerpace import is_comparable
