Find the usual capacity once a plan, and bound the row of slow workers to 100

Read as a newcomer: what urgent work needs was worked out with the usual capacity of all workers anew for each urgent unit, workers times units a plan. It is found once now, with the same outcome. A row of 500 slow workers every 2 s would have been 12 KB/s at the size aimed at, over the 7 KB/s of a node; 100 are 2.5 KB/s.

--- a/hickorywing/policy/keptroom.py
+++ b/hickorywing/policy/keptroom.py
@@ -15,6 +15,7 @@
 from collections.abc import Mapping
 import math
 
+from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolmodel import WorkerFacts
 from hickorywing.policy.poolpreemption import RunningUnit
@@ -105,10 +106,11 @@
         now_s: float,
     ) -> None:
         """Take in what urgent work needs now, together and in one rack."""
+        usual = find_usual_capacity(workers.values())
         together = widest = 0.0
         for item in units:
             if item.priority <= URGENT:
-                needed = count_needed(item.unit, item.step, workers)
+                needed = count_needed(item.unit, item.step, usual)
                 together += needed
                 if wishes_rack(item.step):
                     widest = max(widest, needed)
@@ -116,14 +118,14 @@
         self._widest.note(now_s, widest)
 
 
-def count_needed(
-    unit: Unit, step: Step, workers: Mapping[str, WorkerFacts]
-) -> float:
-    """Return how many usual workers' room a unit takes."""
-    capacities = Counter(facts.capacity for facts in workers.values())
-    if not capacities:
-        return 0.0
-    ((usual, _),) = capacities.most_common(1)
+def find_usual_capacity(workers: Iterable[WorkerFacts]) -> Resources:
+    """Return the capacity that most workers have."""
+    capacities = Counter(facts.capacity for facts in workers)
+    return max(capacities, key=capacities.get, default=Resources())
+
+
+def count_needed(unit: Unit, step: Step, usual: Resources) -> float:
+    """Return how many workers of usual capacity a unit takes."""
     slots = count_slots(count_room(step), usual, MOST_SLOTS)
     return unit.count / slots if slots else unit.count
 
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -41,8 +41,8 @@
 # One transaction for all jobs that save. What was saved since the last one is
 # lost with the controller and the worker together.
 STORE_SAVES_EVERY_S = 2.0
-# Bounds the row of slow workers, of about 50 bytes each.
-MOST_STORED_PACES = 500
+# Bounds the row of slow workers, of about 50 bytes each, to 2.5 KB a second.
+MOST_STORED_PACES = 100
 
 
 @dataclass(frozen=True, slots=True)
