Test that what is known of workers' speeds stays sound as workers come and go

Groups of tasks are dropped from both ends of two indexes: with the oldest group, with a worker's ninth group, and with a lost worker. No test mixed these; the one added passes at once and is a guard.

--- a/tests/test_workerpace.py
+++ b/tests/test_workerpace.py
@@ -158,6 +158,26 @@
         assert name_group(unit, single) == unit.step_key
 
 
+class TestManyGroups:
+    """What is kept stays bounded while workers come and go."""
+
+    def test_notes_losses_and_restores_in_any_order(self):
+        rng = random.Random(7)
+        pace = WorkerPace()
+        for number in range(3000):
+            key = (f"j{number // 4}", 0, 0, 1)
+            for worker in rng.sample(WORKERS, rng.randint(1, 5)):
+                factor = 1.3 if worker in SLOW else 1.0
+                pace.note(key, worker, 0.1 * factor, rng.random() < 0.5)
+            if rng.random() < 0.2:
+                pace.forget(rng.choice(WORKERS))
+            if rng.random() < 0.02:
+                pace.restore({rng.choice(WORKERS): 1.3})
+            if rng.random() < 0.3:
+                assert all(0.4 < pace.measure(item) < 2.5 for item in WORKERS)
+        assert len(set(filter(pace.is_slow, WORKERS)) - SLOW) <= 2
+
+
 class TestMeasure:
     """A pace is taken from what a run did while it was watched."""
 
