Bear impossible paces in the row of slow workers, and keep it at a new term

A stored pace of 0 or less ended the load of a term with an error of the logarithm, so each candidate in turn would have lost the role again. Only paces over 1 are taken over now, and bounded as measured ones are.

A successor wrote its own, still empty, list of slow workers at its first tick, before the workers were known, so that a second change of the holder within about two seconds found nothing. What was restored counts as known until the first plan. Lines 'worker slow' are not repeated by a successor for these workers.

Both tests fail on the code before.

--- a/hickorywing/policy/workerpace.py
+++ b/hickorywing/policy/workerpace.py
@@ -192,12 +192,15 @@
     def restore(self, paces: Mapping[str, float]) -> None:
         """Take over which workers an earlier controller has found slow.
 
-        Paces are as ``measure`` returns them.
+        Paces are as ``measure`` returns them; others than slow ones say
+        nothing.
         """
         for worker, pace in paces.items():
-            self._earlier[worker] = math.log(pace)
-            self._slowness[worker] = math.log(pace)
-            self._known.add(worker)
+            if pace > 1.0:
+                slowness = min(MOST_LOG, math.log(pace))
+                self._earlier[worker] = slowness
+                self._slowness[worker] = slowness
+                self._known.add(worker)
 
     def forget(self, worker: str) -> None:
         """Drop what is known of a worker that is gone."""
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -159,7 +159,8 @@
     def restore_paces(self, paces: dict[str, float]) -> None:
         """Take over which workers an earlier controller has found slow."""
         self.reports.paces.restore(paces)
-        self._stored_slow = frozenset(paces)
+        # The row stays as it is until the workers are known.
+        self._slow = self._stored_slow = frozenset(paces)
 
     def _store_paces(self) -> None:
         """Store which workers are slow, for a later controller."""
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -678,6 +678,10 @@
         async with Control() as successor:
             successor.runs.restore_paces(decode_row(row.value, dict))
             assert successor.runs.reports.paces.is_slow(worker)
+            # Nor does a successor drop the row before it knows the workers.
+            successor.runs.tick(0.0)
+            await asyncio.sleep(0.1)
+            assert key not in successor.store.rows
 
 
 class TestProgress:
--- a/tests/test_workerpace.py
+++ b/tests/test_workerpace.py
@@ -137,6 +137,11 @@
                 pace.note((f"k{number}", 0, 0, 1), worker, percent_s, True)
         assert set(filter(pace.is_slow, WORKERS)) == slow
 
+    def test_stored_paces_that_cannot_be(self):
+        pace = WorkerPace()
+        pace.restore({"w0": 0.0, "w1": -1.0, "w2": float("nan"), "w3": 1e300})
+        assert list(filter(pace.is_slow, WORKERS)) == ["w3"]
+
     def test_worker_that_is_slow_no_more_under_the_next_controller(self):
         pace = WorkerPace()
         pace.restore({"w0": 1.3})
