Review case 4: an urgent job gets more tasks on a runner than it allows

Cause: the planner claims room for each task on its own and does not count claims for the limit of tasks on one runner.

No code of the project is changed.

--- a/review/rig/system.py
+++ b/review/rig/system.py
@@ -112,7 +112,8 @@
     ) -> None:
         """Write a configuration as the operator.
 
-        ``services`` are those of the queues ``jobs`` and ``bulk``.
+        ``services`` are those of the queues ``jobs`` and ``bulk``; the queue
+        ``urgent`` has that of ``jobs``.
         """
         routes = [
             {
@@ -131,6 +132,7 @@
             for name, priority, service in (
                 ("jobs", 1, services[0]),
                 ("bulk", 2, services[1]),
+                ("urgent", 0, services[0]),
             )
         ]
         tenants = [
