--- a/review/rig/system.py
+++ b/review/rig/system.py
@@ -32,7 +32,7 @@
 HOST = "queue.example"
 KEYS = ("tenant-key-1", "tenant-key-2")
 START_LIMIT_S = 25.0
-CASE_LIMIT_S = float(os.environ.get("CASE_LIMIT_S", "112"))
+CASE_LIMIT_S = 112.0
 # The figures of the small sites.
 BOUNDS = {
     "hold-max-ms": 10000,
