Show that a living worker is given up on another's word

Six tests over real entries and agents: one heartbeat of another id (born 1 ms or a minute later), of the same id with a later born, or one DELETE, while four jobs run.

The emulated worker answers calls for a worker of another name with 421, as the platform's runners do. It answered any name before, so that no test could show this: an agent that followed an incarnation that never was kept getting answers.

--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -21,6 +21,7 @@
 from hickorywing.waiting import wait_for_event
 from hickorywing.web import add_route
 from hickorywing.web import answer_json
+from hickorywing.web import find_header
 from hickorywing.web import make_app
 
 __all__ = ["PlatformWorkerStandin", "StartRecord"]
@@ -32,6 +33,7 @@
 TICK_S = 0.01
 STOP_DELAY_S = 0.05
 MAX_LEASE_MS = 10_000
+INSTANCE_HEADER = b"X-Expect-Instance"
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,8 +83,8 @@
     """A worker whose runs only wait until their time is over.
 
     ``starts`` and ``ends`` record all starts and listed ends, also those of
-    earlier incarnations. Tests
-    set ``state`` and ``remaining_ms``, which are sent in heartbeats, and
+    earlier incarnations. ``agent`` is the address to which heartbeats go.
+    Tests set ``state`` and ``remaining_ms``, which are sent in heartbeats, and
     ``lose_answers``, the number of next starts whose answer comes too late.
     """
 
@@ -98,7 +100,7 @@
         self.gone = False
         self._pool = pool
         self._zone = zone
-        self._agent = agent
+        self.agent = agent
         self._capacity = {"cpu": 64_000, "mem-mb": 65_536, "gpu": gpu}
         self._restart()
 
@@ -143,14 +145,23 @@
             ("/run-stop", self.handle_stop),
             ("/hold", self.handle_hold),
         ):
-            add_route(app, "POST", path, self._fail_if_gone(handle))
+            add_route(app, "POST", path, self._guard(handle))
         return app
 
-    def _fail_if_gone(self, handle: Handler) -> Handler:
-        """Wrap a handler to answer 500 once the worker has vanished."""
+    def _guard(self, handle: Handler) -> Handler:
+        """Wrap a handler to refuse calls that the worker can't take.
+
+        A call for a worker of another name is answered with 421, any call with
+        500 once the worker has vanished.
+        """
 
         async def guarded(request: Request) -> Response:
-            return Response(500) if self.gone else await handle(request)
+            if self.gone:
+                return Response(500)
+            name = find_header(request.headers, INSTANCE_HEADER)
+            if name not in (None, self.name):
+                return answer_json(421, {"clock-ms": self.clock_ms()})
+            return await handle(request)
 
         return guarded
 
@@ -162,26 +173,29 @@
         finally:
             await http.close()
 
+    def make_heartbeat(self) -> dict[str, Any]:
+        """Return the body of the worker's next heartbeat."""
+        self._sequence += 1
+        body = {
+            "service": self._pool,
+            "state": self.state,
+            "seq": self._sequence,
+            "zone": self._zone,
+            "capacity": self._capacity,
+            "labels": ["a", "r1"],
+            "clock-ms": self.clock_ms(),
+            "born": self.born_ms,
+        }
+        if self.state == "draining":
+            body["remaining-ms"] = self.remaining_ms
+        return body
+
     async def _send_heartbeats(self, http: HttpClient) -> None:
-        url = f"http://{self._agent}/instances/{self.name}"
+        url = f"http://{self.agent}/instances/{self.name}"
         while not self.gone:
-            self._sequence += 1
-            body = {
-                "service": self._pool,
-                "state": self.state,
-                "seq": self._sequence,
-                "zone": self._zone,
-                "capacity": self._capacity,
-                "labels": ["a", "r1"],
-                "clock-ms": self.clock_ms(),
-                "born": self.born_ms,
-            }
-            if self.state == "draining":
-                body["remaining-ms"] = self.remaining_ms
+            body = msgspec.json.encode(self.make_heartbeat())
             try:
-                await http.call(
-                    "PUT", url, HEARTBEAT_TIMEOUT_S, msgspec.json.encode(body)
-                )
+                await http.call("PUT", url, HEARTBEAT_TIMEOUT_S, body)
             except CallError:
                 pass  # The next heartbeat may reach the agent again.
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -390,6 +390,31 @@
             last[start.task] = start.run
         return done
 
+    async def claim_restart(
+        self, worker: str, name: str = "", **fields
+    ) -> None:
+        """Send an agent a heartbeat that its worker did not send.
+
+        It is a copy of the next heartbeat of the worker, whose sequence number
+        is used up, with other fields and maybe under another name.
+        """
+        emulated = self.workers[worker]
+        await self.http.call(
+            "PUT",
+            f"http://{emulated.agent}/instances/{name or emulated.name}",
+            1.0,
+            json.dumps({**emulated.make_heartbeat(), **fields}).encode(),
+        )
+
+    async def claim_departure(self, worker: str) -> None:
+        """Tell an agent that its worker leaves, though it stays."""
+        emulated = self.workers[worker]
+        await self.http.call(
+            "DELETE",
+            f"http://{emulated.agent}/instances/{emulated.name}",
+            1.0,
+        )
+
     def list_starts(self) -> list:
         return [
             start
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -7,6 +7,7 @@
 
 from platformsystem import make_configuration
 from platformsystem import PlatformSystem
+import pytest
 
 from hickorywing.clock import now_s
 from hickorywing.rows import RowKey
@@ -233,6 +234,53 @@
             assert count("agent silent") == 1
 
 
+class TestClaimedRestart:
+    """A living worker was given up on a heartbeat that wasn't its own."""
+
+    @pytest.mark.parametrize("ahead_ms", [1, 60_000])
+    @pytest.mark.parametrize("agents", [["w0"], ["w0", "w1"]])
+    async def test_under_another_name(self, tmp_path, ahead_ms, agents):
+        async with PlatformSystem(tmp_path, workers=2) as system:
+            await self.run_during(
+                system,
+                [
+                    system.claim_restart(
+                        agent,
+                        f"i-other-{agent}",
+                        born=system.workers[agent].born_ms + ahead_ms,
+                        seq=1,
+                    )
+                    for agent in agents
+                ],
+            )
+
+    async def test_under_its_own_name(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2) as system:
+            born_ms = system.workers["w0"].born_ms
+            claim = system.claim_restart("w0", born=born_ms + 1, seq=1)
+            await self.run_during(system, [claim])
+
+    async def test_departure(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2) as system:
+            await self.run_during(system, [system.claim_departure("w0")])
+
+    async def run_during(self, system, claims) -> None:
+        """Make claims while jobs run on all workers, and check the runs."""
+        jobs = [JOB + str(number) for number in range(4)]
+        for job in jobs:
+            await system.submit(job, run_s=3, gpu=4)
+        await system.wait(lambda: len(system.list_starts()) == 4)
+        for claim in claims:
+            await claim
+        for job in jobs:
+            await system.wait_status(job, "completed")
+        assert len(system.list_starts()) == 4
+        # The workers are still used.
+        for job in jobs:
+            await system.submit(job + "0", gpu=4)
+            await system.wait_status(job + "0", "completed")
+
+
 class TestConfiguration:
     """Entries follow the operator's configuration.
 
