Use valid ids for the later jobs in the tests of claimed restarts

The second round of jobs had ids of 17 digits, so the tests would have failed with the fault mended too. It also checks now that both workers are used. On this code all six fail before that round: 6 starts of 4 tasks after a claim to one agent, jobs that are not completed within 20 s after claims to both.

--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -276,9 +276,14 @@
             await system.wait_status(job, "completed")
         assert len(system.list_starts()) == 4
         # The workers are still used.
-        for job in jobs:
-            await system.submit(job + "0", gpu=4)
-            await system.wait_status(job + "0", "completed")
+        later_jobs = [JOB + str(number) for number in range(4, 8)]
+        for job in later_jobs:
+            await system.submit(job, run_s=1, gpu=4)
+        for job in later_jobs:
+            await system.wait_status(job, "completed")
+        assert {start.worker for start in system.list_starts()[4:]} == {
+            worker.name for worker in system.workers.values()
+        }
 
 
 class TestConfiguration:
