Let only a worker's own answers decide which incarnation lives

In the users' record an agent logs 'worker announced' for i-@2^63-1 in place of the living i-, then 'poll answered with status 421'; the tasks on the living worker end as lost and run a second time from 12.93 s, while run 1 goes on until 13.10 s.

Cause: an agent took any heartbeat with a greater (born, seq) as a new incarnation and the last one as ended before either had answered, and a DELETE likewise. The greater born also shut out every later true heartbeat.

Change: announcements of another incarnation are kept apart until the worker has answered a poll that was sent after them. The worker's answer under its name and born confirms an incarnation; status 421, another born under the name, or two refused connections end one. A departure starts polls for up to 2 s, which find that the process is gone. Of one incarnation, announcements are ordered by the worker's clock, which its answers bound, and an announced clock can only set the agent's estimate back, as an estimate that is ahead makes leases longer than the controller counts.

A true restart is polled as soon as it is announced (TestRestart: within 0.25 s over ten kinds). No call to the platform's store is added; an announcement costs one call to the worker on the same VM.

--- a/hickorywing/logevents.py
+++ b/hickorywing/logevents.py
@@ -78,12 +78,19 @@
 
     # Agents and workers appear, leave, or change their state. "worker set
     # aside": tasks of several jobs failed on it; "worker usual": it is no
-    # longer slow; "epoch seen": an agent is called with a newer epoch.
+    # longer slow; "epoch seen": an agent is called with a newer epoch. "worker
+    # announced": somebody says that a worker has started, "departure
+    # announced" that it leaves; "worker confirmed" and "announcement refuted":
+    # what the worker itself answers.
     AGENT_REGISTERED = "agent registered"
     AGENT_FOUND = "agent found"
     AGENT_SILENT = "agent silent"
     AGENT_ANSWERS = "agent answers"
     WORKER_ANNOUNCED = "worker announced"
+    WORKER_CONFIRMED = "worker confirmed"
+    DEPARTURE_ANNOUNCED = "departure announced"
+    ANNOUNCEMENT_REFUTED = "announcement refuted"
+    ANNOUNCEMENT_REFUSED = "announcement refused"
     WORKER_FOUND = "worker found"
     WORKER_LEFT = "worker left"
     WORKER_DRAINING = "worker draining"
--- a/hickorywing/platform/runner.py
+++ b/hickorywing/platform/runner.py
@@ -32,6 +32,7 @@
 from hickorywing.poolworker import Worker
 from hickorywing.poolworker import WorkerAnnouncement
 from hickorywing.poolworker import WorkerGone
+from hickorywing.poolworker import WorkerReplaced
 from hickorywing.poolworker import WorkerSilent
 
 __all__ = ["PlatformWorker", "decode_announcement"]
@@ -146,7 +147,12 @@
 
 
 def decode_poll(answer: HttpAnswer) -> PollResult:
-    """Decode the running and ended runs; raise ``WorkerSilent``."""
+    """Decode the running and ended runs; raise ``WorkerSilent``.
+
+    Status 421 comes from a runner with another id than the call expects.
+    """
+    if answer.status == 421:
+        raise WorkerReplaced("a worker of another name answers")
     if answer.status != 200:
         raise WorkerSilent(f"poll answered with status {answer.status}")
     try:
@@ -212,6 +218,7 @@
 
         Waits up to ``wait_s`` for a run that ends after number
         ``acknowledged``. Raises ``WorkerGone`` if the connection is refused,
+        ``WorkerReplaced`` if a runner with another id answers, and
         ``WorkerSilent`` if no usable answer comes.
         """
         body: dict[str, Any] = {"fence": epoch, "ack-cursor": acknowledged}
--- a/hickorywing/poolworker.py
+++ b/hickorywing/poolworker.py
@@ -16,6 +16,7 @@
     "Worker",
     "WorkerAnnouncement",
     "WorkerGone",
+    "WorkerReplaced",
     "WorkerSilent",
 ]
 
@@ -28,14 +29,18 @@
     """Raised if no process listens at the worker's address."""
 
 
+class WorkerReplaced(WorkerSilent):
+    """Raised if a worker of another name answers at the address."""
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerAnnouncement:
     """A worker's announcement of itself and its capacity.
 
     ``worker`` names the incarnation. ``born_ms`` is its start in Unix
-    milliseconds, by which incarnations are ordered, and ``sequence`` rises
-    with each announcement of one. ``remaining_ms`` is the time that a draining
-    worker has left, and ``clock_ms`` the worker's clock.
+    milliseconds, and ``sequence`` rises with each announcement of one.
+    ``remaining_ms`` is the time that a draining worker has left, and
+    ``clock_ms`` the worker's clock when it sent the announcement.
     """
 
     worker: str
@@ -90,6 +95,7 @@
         The lease ends at ``lease_ms`` on the worker's clock; 0 leaves it as it
         is. The call waits up to ``wait_s`` seconds for an end with a number
         above ``acknowledged``; the worker forgets the ends up to that number.
-        Raises ``WorkerSilent`` without a usable answer, and ``WorkerGone`` if
-        no process listens there.
+        Raises ``WorkerSilent`` without a usable answer, ``WorkerGone`` if no
+        process listens there, and ``WorkerReplaced`` if a worker of another
+        name does.
         """
--- a/hickorywing/workermonitor.py
+++ b/hickorywing/workermonitor.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Coroutine
-from dataclasses import dataclass
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
+from hickorywing.incarnations import Incarnation
+from hickorywing.incarnations import Incarnations
 from hickorywing.logevents import LogEvent
+from hickorywing.orders import EndedRun
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
 from hickorywing.orders import StartOrder
@@ -17,6 +19,7 @@
 from hickorywing.poolworker import Worker
 from hickorywing.poolworker import WorkerAnnouncement
 from hickorywing.poolworker import WorkerGone
+from hickorywing.poolworker import WorkerReplaced
 from hickorywing.poolworker import WorkerSilent
 from hickorywing.waiting import wait_for_event
 
@@ -35,27 +38,10 @@
 MAX_REFUSALS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class ClockReading:
-    """A reading of a worker's clock.
-
-    ``clock_ms`` is the worker's clock in milliseconds at the time ``read_s``,
-    in seconds, of this process's clock.
-    """
-
-    clock_ms: int
-    read_s: float
-
-    def estimate_ms(self) -> int:
-        """Estimate the worker's clock now, in milliseconds."""
-        return self.clock_ms + int((now_s() - self.read_s) * 1000)
-
-
 class WorkerMonitor:
     """Follows one worker by its announcements and by polling it.
 
-    An announcement may arrive late, from an incarnation that has ended, so a
-    worker counts as present only after it has answered a poll. The poll also
+    A worker counts as present only after it has answered a poll. The poll also
     carries the newest epoch; after it the worker accepts no order of an older
     epoch.
     """
@@ -64,32 +50,26 @@
         self, agent_name: str, worker: Worker, log: DecisionLog
     ) -> None:
         self.epoch = 0
-        self.announcement: WorkerAnnouncement | None = None
-        self._agent_name = agent_name
         self._worker = worker
         self._log = log
+        self._incarnations = Incarnations(
+            agent_name, log, self._publish_change
+        )
         self._present = False
-        self._last_ended = ""
-        self._last_poll: PollResult | None = None
-        self._clock: ClockReading | None = None
-        self._lease_ms = 0
-        self._granted_ms = 0
-        self._acknowledged = 0
+        self._last_check_s = float("-inf")
         self._busy = False
         self._silent = False
-        self._refusals = 0
         self._report_number = 1
         self._closing = False
         self._report_changed = asyncio.Event()
         self._poll_due = asyncio.Event()
+        self._poll_waits = False
         self._poll_interrupted = asyncio.Event()
 
     @property
     def key(self) -> str:
         """Return the pool-wide name of the present incarnation, or ''."""
-        if self.announcement is None:
-            return ""
-        return f"{self._agent_name}/{self.announcement.worker}"
+        return self._incarnations.key
 
     def close(self) -> None:
         """Answer the waiting watch, and answer later ones at once."""
@@ -99,117 +79,119 @@
     # Announcements
 
     def announce(self, announcement: WorkerAnnouncement) -> bool:
-        """Apply an announcement; return whether it is newer than the last."""
-        last = self.announcement
-        if last is not None:
-            order = (announcement.born_ms, announcement.sequence)
-            if order <= (last.born_ms, last.sequence):
-                return False
-        if last is None or announcement.worker != last.worker:
-            self._follow_incarnation(announcement)
-        elif announcement.draining != last.draining:
-            self._log.write(
-                LogEvent.WORKER_DRAINING
-                if announcement.draining
-                else LogEvent.WORKER_BACK,
-                worker=self.key,
-                remaining_ms=announcement.remaining_ms,
-            )
-            self.announcement = announcement
-            self._publish_change()
-        self.announcement = announcement
-        if announcement.clock_ms:
-            self._clock = ClockReading(announcement.clock_ms, now_s())
-        return True
-
-    def _follow_incarnation(self, announcement: WorkerAnnouncement) -> None:
-        """Start to follow a new incarnation; the previous one has ended."""
-        self._last_ended = self.key
-        self.announcement = announcement
-        self._present = False
-        self._last_poll = None
-        self._clock = None
-        self._lease_ms = 0
-        self._granted_ms = 0
-        self._acknowledged = 0
-        self._log.write(
-            LogEvent.WORKER_ANNOUNCED,
-            worker=self.key,
-            replaces=self._last_ended,
-            pool=announcement.pool,
-        )
-        self._poll_due.set()
+        """Handle an announcement; return whether it is applied at once."""
+        applied = self._incarnations.announce(announcement)
+        if not self._present or self._incarnations.needs_check:
+            self._request_check()
+        return applied
 
     def leave(self, name: str) -> None:
-        """Record that a worker has left; its runs have ended with it."""
-        if self.announcement is None or self.announcement.name != name:
-            return
-        self._end_incarnation("it said so")
+        """Handle an announcement that a worker leaves."""
+        if self._incarnations.announce_departure(name):
+            self._request_check()
 
-    def _end_incarnation(self, reason: str) -> None:
-        """Record that the present incarnation has ended."""
-        self._log.write(LogEvent.WORKER_LEFT, worker=self.key, reason=reason)
-        self._last_ended = self.key
-        self.announcement = None
-        self._present = False
-        self._silent = False
-        self._last_poll = None
-        self._publish_change()
+    def _request_check(self) -> None:
+        """Poll the worker soon, to check what was announced of it."""
+        self._poll_due.set()
+        if self._poll_waits:
+            self._poll_interrupted.set()
 
     # Polling
 
     async def run(self) -> None:
         """Poll the worker whenever that is needed, until cancelled."""
         while True:
-            announcement = self.announcement
-            if announcement is None or not self._needs_poll():
+            if self._incarnations.followed is None:
+                self._incarnations.follow_next()
+            followed = self._incarnations.followed
+            if followed is None or not self._needs_poll():
                 self._poll_due.clear()
                 await self._poll_due.wait()
                 continue
-            await self._poll_once(announcement)
+            await self._poll_once(followed)
 
     def _needs_poll(self) -> bool:
         """Return whether a poll may show a change or end a silence."""
-        return self._busy or self._silent or not self._present
+        return (
+            self._busy
+            or self._silent
+            or not self._present
+            or self._incarnations.needs_check
+        )
+
+    def _choose_wait_s(self, followed: Incarnation) -> float:
+        """Return for how long the next poll may wait for an end of a run.
 
-    async def _poll_once(self, announcement: WorkerAnnouncement) -> None:
-        # The first answer after a silence is reported without delay.
-        may_wait = self._present and self._last_poll and not self._silent
-        wait_s = POLL_WAIT_S if may_wait else 0.0
+        The first answer after a silence is reported without delay. Checks of
+        announcements follow each other with pauses.
+        """
+        if not self._present or not followed.is_confirmed or self._silent:
+            return 0.0
+        if self._incarnations.needs_check:
+            return max(0.0, self._last_check_s + RETRY_S - now_s())
+        return POLL_WAIT_S
+
+    async def _poll_once(self, followed: Incarnation) -> None:
+        incarnations = self._incarnations
+        name = followed.announcement.name
+        wait_s = self._choose_wait_s(followed)
+        checking = incarnations.needs_check
+        checked = incarnations.list_unconfirmed()
         epoch = self.epoch
-        lease_ms = self._forward_lease(self._lease_ms)
+        lease_ms = self._forward_lease(followed, followed.lease_ms)
         self._poll_interrupted.clear()
+        self._poll_waits = wait_s == POLL_WAIT_S
         try:
             poll = await self._await_poll(
                 self._worker.poll(
-                    announcement.name,
-                    epoch,
-                    lease_ms,
-                    self._acknowledged,
-                    wait_s,
+                    name, epoch, lease_ms, followed.acknowledged, wait_s
                 )
             )
+        except WorkerReplaced as error:
+            incarnations.end_name(name, checked, str(error))
+            self._end_presence()
+            return
         except WorkerSilent as error:
             self._record_silence(str(error))
-            self._record_refusal(error)
+            self._record_refusal(followed, error)
+            if not incarnations.is_confirmed:
+                incarnations.follow_next()
             await asyncio.sleep(RETRY_S)
             return
-        self._refusals = 0
+        finally:
+            self._poll_waits = False
+        followed.refusals = 0
         if poll is None:
             return
-        if poll.born_ms != announcement.born_ms:
+        confirmed = incarnations.confirm(poll)
+        if incarnations.followed is not followed:
+            self._end_presence()
+        if not confirmed:
             await asyncio.sleep(RETRY_S)
             return
-        if self.announcement is None or (
-            self.announcement.worker != announcement.worker
-        ):
-            return
-        self._apply_poll(poll, epoch)
-        if any(end.number > self._acknowledged for end in poll.ended):
+        self._apply_poll(incarnations.followed, poll, epoch)
+        incarnations.check(checked, poll)
+        if checking:
+            self._last_check_s = now_s()
+        if self._find_unacknowledged():
             self._poll_due.clear()
             await wait_for_event(self._poll_due, ACKNOWLEDGE_WAIT_S)
 
-    def _forward_lease(self, lease_ms: int) -> int:
+    def _end_presence(self) -> None:
+        """Forget the presence of an incarnation that has ended."""
+        self._present = False
+        self._silent = False
+
+    def _find_unacknowledged(self) -> tuple[EndedRun, ...]:
+        """Return the listed ends that the worker must not forget yet."""
+        followed = self._incarnations.followed
+        return tuple(
+            end
+            for end in followed.poll.ended
+            if end.number > followed.acknowledged
+        )
+
+    def _forward_lease(self, followed: Incarnation, lease_ms: int) -> int:
         """Return the lease that a call to the worker may carry, 0 for none.
 
         A call without an answer may still extend the lease. A silent worker
@@ -217,7 +199,7 @@
         """
         if self._silent:
             return 0
-        self._granted_ms = max(self._granted_ms, lease_ms)
+        followed.granted_ms = max(followed.granted_ms, lease_ms)
         return lease_ms
 
     async def _await_poll(
@@ -247,27 +229,31 @@
             )
             self._publish_change()
 
-    def _record_refusal(self, error: WorkerSilent) -> None:
+    def _record_refusal(
+        self, followed: Incarnation, error: WorkerSilent
+    ) -> None:
         """Record an incarnation as ended if its process is gone.
 
         A worker that hangs or is cut off does not refuse connections, unlike
         one whose process has ended. Refusals don't count before the first
-        answer, as the worker may not listen yet.
+        answer, as the worker may not listen yet, unless it is leaving.
         """
-        refused = isinstance(error, WorkerGone) and self._last_poll is not None
-        self._refusals = self._refusals + 1 if refused else 0
-        if self._refusals >= MAX_REFUSALS:
-            self._refusals = 0
-            self._end_incarnation(str(error))
-
-    def _apply_poll(self, poll: PollResult, epoch: int) -> None:
+        counts = followed.is_confirmed or self._incarnations.is_leaving
+        refused = isinstance(error, WorkerGone) and counts
+        followed.refusals = followed.refusals + 1 if refused else 0
+        if followed.refusals >= MAX_REFUSALS:
+            self._incarnations.end(str(error))
+            self._end_presence()
+
+    def _apply_poll(
+        self, followed: Incarnation, poll: PollResult, epoch: int
+    ) -> None:
         if self._silent:
             self._silent = False
             self._log.write(LogEvent.WORKER_ANSWERS, worker=self.key)
             self._publish_change()
-        last = self._last_poll
-        self._last_poll = poll
-        self._clock = ClockReading(poll.clock_ms, now_s())
+        last = followed.poll
+        followed.record_poll(poll)
         if not self._present and epoch == self.epoch:
             self._present = True
             self._publish_change()
@@ -298,13 +284,7 @@
         one that the controller has seen is returned at once.
         """
         if self._record_epoch(order.epoch) and order.worker == self.key:
-            self._lease_ms = max(self._lease_ms, order.lease_ms)
-            if order.noted > self._acknowledged:
-                self._acknowledged = order.noted
-                self._poll_due.set()
-            if order.busy != self._busy:
-                self._busy = order.busy
-                self._poll_due.set()
+            self._record_terms(order)
         if (
             order.seen == self._report_number
             and order.wait_s
@@ -314,35 +294,45 @@
             await wait_for_event(self._report_changed, order.wait_s)
         return self._make_report()
 
+    def _record_terms(self, order: WatchOrder) -> None:
+        """Record the lease and the acknowledged ends of a watch."""
+        followed = self._incarnations.followed
+        if followed is not None:
+            followed.lease_ms = max(followed.lease_ms, order.lease_ms)
+            if order.noted > followed.acknowledged:
+                followed.acknowledged = order.noted
+                self._poll_due.set()
+        if order.busy != self._busy:
+            self._busy = order.busy
+            self._poll_due.set()
+
     def _make_report(self) -> WorkerReport:
-        announcement = self.announcement
-        poll = self._last_poll
-        if announcement is None or not self._present or poll is None:
+        followed = self._incarnations.followed
+        if followed is None or not self._present or not followed.is_confirmed:
             return WorkerReport(
                 self._report_number,
                 self.epoch,
-                left=self._last_ended,
+                left=self._incarnations.last_ended,
                 silent=self._silent,
             )
+        announcement = followed.announcement
         return WorkerReport(
             number=self._report_number,
             epoch=self.epoch,
             pool=announcement.pool,
             worker=self.key,
-            left=self._last_ended,
+            left=self._incarnations.last_ended,
             zone=announcement.zone,
             capacity=announcement.capacity,
             labels=announcement.labels,
             draining=announcement.draining,
             remaining_ms=announcement.remaining_ms,
-            clock_ms=0 if self._clock is None else self._clock.estimate_ms(),
-            looked_ms=poll.clock_ms,
+            clock_ms=followed.clock.estimate_ms(),
+            looked_ms=followed.poll.clock_ms,
             silent=self._silent,
-            granted_ms=self._granted_ms,
-            running=poll.running,
-            ended=tuple(
-                end for end in poll.ended if end.number > self._acknowledged
-            ),
+            granted_ms=followed.granted_ms,
+            running=followed.poll.running,
+            ended=self._find_unacknowledged(),
         )
 
     async def start(self, order: StartOrder) -> OrderAnswer:
@@ -357,20 +347,22 @@
                 reason=refusal,
             )
             return OrderAnswer(refusal)
+        followed = self._incarnations.followed
         self._busy = True
-        self._forward_lease(order.lease_ms)
-        answer = await self._worker.start(order, self.announcement.name)
+        self._forward_lease(followed, order.lease_ms)
+        answer = await self._worker.start(order, followed.announcement.name)
         self._poll_due.set()
         return answer
 
     def _check_start(self, order: StartOrder) -> OrderOutcome | None:
         if not self._record_epoch(order.epoch):
             return OrderOutcome.OLD_EPOCH
-        if self.announcement is None or order.worker != self.key:
+        followed = self._incarnations.followed
+        if followed is None or order.worker != followed.key:
             return OrderOutcome.OTHER_WORKER
-        if self.announcement.draining or self._silent:
+        if followed.announcement.draining or self._silent:
             return OrderOutcome.REFUSED
-        clock = self._clock
+        clock = followed.clock
         if clock is None or clock.estimate_ms() > order.expires_ms:
             return OrderOutcome.LATE
         return None
@@ -379,10 +371,11 @@
         """Forward a stop order."""
         if not self._record_epoch(order.epoch):
             return OrderAnswer(OrderOutcome.OLD_EPOCH)
-        if self.announcement is None or order.worker != self.key:
+        followed = self._incarnations.followed
+        if followed is None or order.worker != followed.key:
             return OrderAnswer(OrderOutcome.OTHER_WORKER)
         self._busy = True
-        answer = await self._worker.stop(order, self.announcement.name)
+        answer = await self._worker.stop(order, followed.announcement.name)
         self._poll_due.set()
         return answer
 
--- a/tests/test_workermonitor.py
+++ b/tests/test_workermonitor.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from poolhelpers import RecordedLog
+import pytest
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
@@ -16,15 +17,21 @@
 from hickorywing.poolworker import Worker
 from hickorywing.poolworker import WorkerAnnouncement
 from hickorywing.poolworker import WorkerGone
+from hickorywing.poolworker import WorkerReplaced
 from hickorywing.poolworker import WorkerSilent
 from hickorywing.workermonitor import WorkerMonitor
 
 
 class FakeWorker(Worker):
-    """Answers each poll after the wait that it asks for."""
+    """Answers each poll after the wait that it asks for.
+
+    ``name`` and ``born_ms`` are those of the incarnation that answers.
+    """
 
     def __init__(self) -> None:
+        self.name = "i-1"
         self.born_ms = 100
+        self.clock_ms = 1000
         self.silent = False
         self.gone = False
         self.epochs: list[int] = []
@@ -46,18 +53,22 @@
             raise WorkerGone("connection refused")
         if self.silent:
             raise WorkerSilent("no answer")
+        if name != self.name:
+            raise WorkerReplaced("another name")
         self.epochs.append(epoch)
         self.leases.append(lease_ms)
         if lease_ms:
             self.renewed.set()
         await asyncio.sleep(wait_s)
-        return PollResult(1000, self.born_ms, (), ())
+        return PollResult(self.clock_ms, self.born_ms, (), ())
 
 
-def announce(born_ms=100, sequence=1, draining=False) -> WorkerAnnouncement:
+def announce(
+    born_ms=100, sequence=1, draining=False, name="i-1", clock_ms=1000
+) -> WorkerAnnouncement:
     return WorkerAnnouncement(
-        worker=f"i-1@{born_ms}",
-        name="i-1",
+        worker=f"{name}@{born_ms}",
+        name=name,
         born_ms=born_ms,
         sequence=sequence,
         pool="p",
@@ -66,7 +77,7 @@
         labels=("a", "r1"),
         draining=draining,
         remaining_ms=0,
-        clock_ms=1000,
+        clock_ms=clock_ms,
     )
 
 
@@ -174,6 +185,157 @@
             assert report.left == "a1/i-1@100"
 
 
+class TestClaimedRestart:
+    """A living worker was given up on an announcement that wasn't its own.
+
+    What ends an incarnation is an answer of the worker itself, or that its
+    process is gone.
+    """
+
+    CLAIMS = [
+        announce(name="i-2", born_ms=101),
+        announce(name="i-2", born_ms=2**53),
+        announce(name="i-2", born_ms=50),
+        announce(born_ms=101),
+        announce(born_ms=50, sequence=2**53),
+    ]
+
+    async def follow(self, agent: Agent, busy: bool) -> None:
+        agent.monitor.announce(announce())
+        await agent.ask(busy=busy)
+        await agent.ask(busy=busy, wait_s=0.1)
+
+    async def expect_unchanged(self, agent: Agent, busy: bool) -> None:
+        await asyncio.sleep(0.5)
+        report = await agent.ask(busy=busy, wait_s=0.0)
+        assert (report.worker, report.left) == ("a1/i-1@100", "")
+        assert not report.silent
+        assert await agent.start() is OrderOutcome.OK
+
+    @pytest.mark.parametrize("busy", [False, True])
+    @pytest.mark.parametrize("claim", CLAIMS, ids=lambda item: item.worker)
+    async def test_while_the_worker_answers(self, claim, busy):
+        async with Agent() as agent:
+            await self.follow(agent, busy)
+            agent.monitor.announce(claim)
+            await self.expect_unchanged(agent, busy)
+
+    @pytest.mark.parametrize("claim", CLAIMS, ids=lambda item: item.worker)
+    async def test_while_the_worker_is_silent(self, claim):
+        async with Agent() as agent:
+            await agent.lose_worker()
+            agent.monitor.announce(claim)
+            await asyncio.sleep(0.5)
+            report = await agent.ask(busy=True, wait_s=0.0)
+            assert report.silent
+            assert report.left == ""
+            agent.worker.silent = False
+            await self.expect_unchanged(agent, busy=True)
+
+    @pytest.mark.parametrize("busy", [False, True])
+    async def test_departure(self, busy):
+        async with Agent() as agent:
+            await self.follow(agent, busy)
+            agent.monitor.leave("i-1")
+            await self.expect_unchanged(agent, busy)
+
+    async def test_departure_of_the_last_incarnation_comes_late(self):
+        async with Agent() as agent:
+            await self.follow(agent, busy=True)
+            agent.worker.born_ms = 200
+            agent.monitor.announce(announce(born_ms=200))
+            report = await agent.ask()
+            agent.monitor.leave("i-1")
+            await asyncio.sleep(0.5)
+            report = await agent.ask(wait_s=0.0)
+            assert (report.worker, report.left) == ("a1/i-1@200", "a1/i-1@100")
+
+    async def test_leases_go_on_while_claims_pour_in(self):
+        async with Agent() as agent:
+            await self.follow(agent, busy=True)
+            for number in range(50):
+                agent.monitor.announce(
+                    announce(name=f"i-{number + 2}", born_ms=number)
+                )
+                await agent.ask(
+                    busy=True, wait_s=0.0, lease_ms=2000 + 100 * number
+                )
+                await asyncio.sleep(0.01)
+            await self.expect_unchanged(agent, busy=True)
+            assert agent.worker.leases[-1] == 6900
+            # Checks follow each other with pauses.
+            assert len(agent.worker.leases) < 25
+
+    async def test_later_born_claim_before_the_worker_answers(self):
+        async with Agent() as agent:
+            agent.worker.silent = True
+            for claim in self.CLAIMS:
+                agent.monitor.announce(claim)
+            agent.monitor.announce(announce())
+            agent.worker.silent = False
+            async with asyncio.timeout(3):
+                while (await agent.ask()).worker != "a1/i-1@100":
+                    pass
+
+    @pytest.mark.parametrize("busy", [False, True])
+    async def test_clock_ahead_changes_neither_clock_nor_order(self, busy):
+        async with Agent() as agent:
+            await self.follow(agent, busy)
+            claim = announce(sequence=9, clock_ms=2**53, draining=True)
+            agent.monitor.announce(claim)
+            await self.expect_unchanged(agent, busy)
+            report = await agent.ask(busy=busy, wait_s=0.0)
+            assert not report.draining
+            assert report.clock_ms < 60_000
+            agent.worker.clock_ms = 3000
+            agent.monitor.announce(
+                announce(sequence=2, clock_ms=2500, draining=True)
+            )
+            async with asyncio.timeout(3):
+                while not (await agent.ask(busy=busy)).draining:
+                    pass
+
+
+class TestRestart:
+    """A restart is noticed at once, whether or not the worker was polled."""
+
+    NOTICE_S = 0.25
+
+    @pytest.mark.parametrize("busy", [False, True])
+    @pytest.mark.parametrize("name", ["i-1", "i-2"])
+    @pytest.mark.parametrize("born_ms", [200, 50])
+    async def test_new_incarnation(self, busy, name, born_ms):
+        async with Agent() as agent:
+            agent.monitor.announce(announce())
+            await agent.ask(busy=busy)
+            await agent.ask(busy=busy, wait_s=0.1)
+            agent.worker.name = name
+            agent.worker.born_ms = born_ms
+            agent.worker.clock_ms = 1
+            agent.monitor.announce(
+                announce(name=name, born_ms=born_ms, clock_ms=1)
+            )
+            began_s = now_s()
+            report = await agent.ask(busy=busy)
+            while report.worker != f"a1/{name}@{born_ms}":
+                report = await agent.ask(busy=busy)
+            assert report.left == "a1/i-1@100"
+            assert now_s() - began_s < self.NOTICE_S
+
+    async def test_departure(self):
+        async with Agent() as agent:
+            agent.monitor.announce(announce())
+            await agent.ask()
+            await agent.ask(wait_s=0.1)
+            agent.monitor.leave("i-1")
+            await asyncio.sleep(0.3)
+            agent.worker.gone = True
+            began_s = now_s()
+            while (await agent.ask()).left != "a1/i-1@100":
+                pass
+            assert now_s() - began_s < 2 * self.NOTICE_S
+
+
 class TestEpochs:
     """A new controller's epoch reaches a busy worker at once."""
 
