Refuse heartbeats that name another pool, zone or address than the agent's

Cause: an agent took all fields of a heartbeat, also those that its own settings know better: it has one worker, on its own VM, in one pool and one zone, at one address. Capacity, zone and address could be missing altogether.

Change: such a heartbeat is answered with 400, counted and logged with the field and its value. A new life may differ in labels and room, but not in these.

The emulated worker sends its address, as the platform's runners do.

--- a/hickorywing/platform/runner.py
+++ b/hickorywing/platform/runner.py
@@ -70,14 +70,16 @@
 class WireHeartbeat(msgspec.Struct, rename="kebab"):
     """A heartbeat of a runner.
 
-    ``service`` is its pool, and ``seq`` rises with each heartbeat.
+    ``service`` is its pool, ``address`` that at which it takes orders, and
+    ``seq`` rises with each heartbeat.
     """
 
     service: str
     state: str
     seq: Count
-    zone: str = ""
-    capacity: WireCapacity | None = None
+    capacity: WireCapacity
+    address: str
+    zone: str
     labels: list[str] = []
     clock_ms: Count = 0
     remaining_ms: Count = 0
@@ -115,7 +117,7 @@
         return None
     if heartbeat.state not in ("ready", "draining"):
         return None
-    capacity = heartbeat.capacity or WireCapacity()
+    capacity = heartbeat.capacity
     return WorkerAnnouncement(
         worker=f"{name}@{heartbeat.born}",
         name=name,
@@ -123,6 +125,7 @@
         sequence=heartbeat.seq,
         pool=heartbeat.service,
         zone=heartbeat.zone,
+        address=heartbeat.address,
         capacity=Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
         labels=tuple(heartbeat.labels),
         draining=heartbeat.state == "draining",
--- a/hickorywing/poolagent.py
+++ b/hickorywing/poolagent.py
@@ -28,6 +28,7 @@
 from hickorywing.platform.store import PlatformStore
 from hickorywing.poolrows import AgentRow
 from hickorywing.poolrows import AGENTS
+from hickorywing.poolworker import WorkerPlace
 from hickorywing.program import cancel_tasks
 from hickorywing.program import describe_reload
 from hickorywing.program import parse_settings_path
@@ -145,9 +146,13 @@
             settings.name, PlatformWorker(settings.worker, http), self._log
         )
         worker_app = make_app(self._log)
-        HeartbeatApi(monitor.announce, monitor.leave, self._metrics).install(
-            worker_app
-        )
+        HeartbeatApi(
+            monitor.announce,
+            monitor.leave,
+            WorkerPlace(settings.pool, settings.zone, settings.worker),
+            self._log,
+            self._metrics,
+        ).install(worker_app)
         order_app = make_app(self._log)
         OrderApi(monitor).install(order_app)
         serve_metrics(order_app, self._metrics)
--- a/hickorywing/poolworker.py
+++ b/hickorywing/poolworker.py
@@ -14,6 +14,7 @@
 __all__ = [
     "PollResult",
     "Worker",
+    "WorkerPlace",
     "WorkerAnnouncement",
     "WorkerGone",
     "WorkerReplaced",
@@ -39,8 +40,9 @@
 
     ``worker`` names the incarnation. ``born_ms`` is its start in Unix
     milliseconds, and ``sequence`` rises with each announcement of one.
-    ``remaining_ms`` is the time that a draining worker has left, and
-    ``clock_ms`` the worker's clock when it sent the announcement.
+    ``address`` is that at which it takes orders. ``remaining_ms`` is the time
+    that a draining worker has left, and ``clock_ms`` the worker's clock when
+    it sent the announcement.
     """
 
     worker: str
@@ -49,6 +51,7 @@
     sequence: int
     pool: str
     zone: str
+    address: str
     capacity: Resources
     labels: tuple[str, ...]
     draining: bool
@@ -56,6 +59,22 @@
     clock_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerPlace:
+    """What an agent's settings say of the worker on its VM."""
+
+    pool: str
+    zone: str
+    address: str
+
+    def find_mismatch(self, announcement: WorkerAnnouncement) -> str:
+        """Return the field in which an announcement differs, '' if none."""
+        for name in ("pool", "zone", "address"):
+            if getattr(announcement, name) != getattr(self, name):
+                return name
+        return ""
+
+
 @dataclass(frozen=True, slots=True)
 class PollResult:
     """The result of a poll: the runs that a worker lists.
--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -83,15 +83,23 @@
     """A worker whose runs only wait until their time is over.
 
     ``starts`` and ``ends`` record all starts and listed ends, also those of
-    earlier incarnations. ``agent`` is the address to which heartbeats go.
-    Tests set ``state`` and ``remaining_ms``, which are sent in heartbeats, and
-    ``lose_answers``, the number of next starts whose answer comes too late.
+    earlier incarnations. ``address`` is that of the worker, ``agent`` that to
+    which its heartbeats go. Tests set ``state`` and ``remaining_ms``, which
+    are sent in heartbeats, and ``lose_answers``, the number of next starts
+    whose answer comes too late.
     """
 
     def __init__(
-        self, name: str, pool: str, zone: str, agent: str, gpu: int = 8
+        self,
+        name: str,
+        pool: str,
+        zone: str,
+        address: str,
+        agent: str,
+        gpu: int = 8,
     ) -> None:
         self.name = name
+        self.address = address
         self.starts: list[StartRecord] = []
         self.ends: list[EndRecord] = []
         self.state = "ready"
@@ -178,6 +186,7 @@
         self._sequence += 1
         body = {
             "service": self._pool,
+            "address": self.address,
             "state": self.state,
             "seq": self._sequence,
             "zone": self._zone,
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -158,9 +158,12 @@
 
     async def _add_worker(self, name: str, zone: str, pool: str) -> None:
         control = find_free_address()
-        worker = PlatformWorkerStandin(f"i-{name}", pool, zone, control)
+        address = find_free_address()
+        worker = PlatformWorkerStandin(
+            f"i-{name}", pool, zone, address, control
+        )
         self.workers[name] = worker
-        address = await self._serve(worker.make_app(), find_free_address())
+        await self._serve(worker.make_app(), address)
         self._tasks.append(asyncio.ensure_future(worker.run()))
         settings = {
             "name": name,
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -72,6 +72,7 @@
     "state": "ready",
     "seq": 4,
     "zone": "z",
+    "address": "10.1.0.9:8080",
     "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 8},
     "labels": ["a", "r1"],
     "clock-ms": 482113,
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -264,6 +264,24 @@
         async with PlatformSystem(tmp_path, workers=2) as system:
             await self.run_during(system, [system.claim_departure("w0")])
 
+    async def test_of_a_worker_elsewhere(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2) as system:
+            born_ms = system.workers["w0"].born_ms + 1
+            fields = {"service": "other", "zone": "z9", "address": "1.1.1.1:1"}
+            await self.run_during(
+                system,
+                [
+                    system.claim_restart("w0", born=born_ms, **{name: value})
+                    for name, value in fields.items()
+                ],
+            )
+            refused = [
+                line["field"]
+                for line in system.read_log_lines()
+                if line["event"] == "announcement refused"
+            ]
+            assert refused == ["pool", "zone", "address"]
+
     async def run_during(self, system, claims) -> None:
         """Make claims while jobs run on all workers, and check the runs."""
         jobs = [JOB + str(number) for number in range(4)]
--- a/tests/test_workermonitor.py
+++ b/tests/test_workermonitor.py
@@ -73,6 +73,7 @@
         sequence=sequence,
         pool="p",
         zone="z",
+        address="127.0.0.1:1",
         capacity=Resources(1000, 1000, 8),
         labels=("a", "r1"),
         draining=draining,
