Pass leases, acknowledgements and starts only to the life they are meant for

Cause: a call names the worker without its start, so either life takes it. A poll carried the lease and the acknowledged ends of the last life, and a start was passed on although a restart was announced, or before any answer.

Change: a poll carries a lease and acknowledged ends only within 0.5 s of an answer of the same incarnation and while no other life of its name is announced; otherwise it carries none, and the next one follows at once. Starts wait for the first answer and are refused while another life of the name is announced; one that another life has answered counts as unanswered. Another born in an answer ends the last life at once, announced or not. A worker that has never answered is neither updated nor ended by what is announced of it, and 32 announced lives are kept instead of 4, as a flood of them delayed a true restart.

The tests of starts let the worker answer first, as a controller does, and check more than before.

--- a/hickorywing/announcements.py
+++ b/hickorywing/announcements.py
@@ -13,7 +13,7 @@
 
 # The announcements of more incarnations than these are dropped, the oldest
 # first. A worker announces itself again within seconds.
-MAX_INCARNATIONS = 4
+MAX_INCARNATIONS = 32
 
 
 def is_newer(
--- a/hickorywing/incarnations.py
+++ b/hickorywing/incarnations.py
@@ -36,7 +36,8 @@
     unknown. The times of leases are on that clock: ``lease_ms`` is the end of
     the lease that the controller grants, ``granted_ms`` of the longest one
     that was passed on. The worker may forget the ends of runs up to the number
-    ``acknowledged``. ``refusals`` counts the connections refused in a row.
+    ``acknowledged``. ``refusals`` counts the connections refused in a row, and
+    ``answered_s`` is the time of the last answer.
     """
 
     announcement: WorkerAnnouncement
@@ -47,6 +48,7 @@
     granted_ms: int = 0
     acknowledged: int = 0
     refusals: int = 0
+    answered_s: float = float("-inf")
 
     @property
     def is_confirmed(self) -> bool:
@@ -57,6 +59,7 @@
         """Record an answer of the worker."""
         self.poll = poll
         self.clock = WorkerClock(poll.clock_ms)
+        self.answered_s = now_s()
 
 
 class Incarnations:
@@ -93,10 +96,18 @@
         """Return whether an announcement waits for an answer."""
         return bool(self._unconfirmed) or self._leaves_by_s is not None
 
-    @property
-    def is_leaving(self) -> bool:
-        """Return whether a departure was announced and isn't refuted yet."""
-        return self._leaves_by_s is not None
+    def may_have_restarted(self) -> bool:
+        """Return whether another life under the same name was announced.
+
+        Calls to the worker name it without its start, so either would take
+        them.
+        """
+        present = self.followed.announcement
+        return any(
+            announcement.name == present.name
+            and announcement.worker != present.worker
+            for announcement in self._unconfirmed
+        )
 
     def list_unconfirmed(self) -> list[WorkerAnnouncement]:
         """Return the announcements that the next answer will decide on."""
@@ -105,8 +116,8 @@
     def announce(self, announcement: WorkerAnnouncement) -> bool:
         """Handle an announcement; return whether it is applied at once.
 
-        One of another incarnation, or with a clock that is ahead of the
-        worker's, is applied only after an answer has confirmed it.
+        One of another incarnation, of one that hasn't answered yet, or with a
+        clock that is ahead of the worker's is kept until the next answer.
         """
         followed = self.followed
         if followed is None:
@@ -116,9 +127,8 @@
         if announcement.worker == followed.announcement.worker:
             if not is_newer(announcement, followed.announcement):
                 return False
-            if not (
-                followed.is_confirmed
-                and is_ahead(announcement, followed.clock.estimate_ms())
+            if followed.is_confirmed and not is_ahead(
+                announcement, followed.clock.estimate_ms()
             ):
                 self._update(followed, announcement)
                 return True
@@ -148,21 +158,21 @@
             return
         if self.followed is not None:
             self._unconfirmed.add(self.followed.announcement)
+        self._leaves_by_s = None
         self._follow(announcement)
 
     def confirm(self, poll: PollResult) -> bool:
         """Return whether an answer is by a known incarnation.
 
         If the worker has restarted under its name, the new incarnation is
-        followed from now on, provided that it was announced.
+        followed from now on, or once it is announced.
         """
         followed = self.followed
         if poll.born_ms != followed.announcement.born_ms:
-            name = followed.announcement.name
-            successor = self._unconfirmed.take(name, poll.born_ms)
-            if successor is None and followed.is_confirmed:
-                return False
-            self.end("it has restarted under its name")
+            self.end("another life answers under its name")
+            successor = self._unconfirmed.take(
+                followed.announcement.name, poll.born_ms
+            )
             if successor is None:
                 return False
             followed = self._follow(successor)
--- a/hickorywing/orders.py
+++ b/hickorywing/orders.py
@@ -100,12 +100,14 @@
     """Answers a start or stop order.
 
     ``clock_ms`` is the worker's clock. ``reason`` says why the outcome is
-    unknown.
+    unknown. ``born_ms`` is the start of the incarnation that has answered in
+    Unix milliseconds, 0 if the answer doesn't tell.
     """
 
     outcome: OrderOutcome
     clock_ms: int = 0
     reason: str = ""
+    born_ms: int = 0
 
 
 class RunningRun(msgspec.Struct, frozen=True, array_like=True):
--- a/hickorywing/platform/runner.py
+++ b/hickorywing/platform/runner.py
@@ -80,10 +80,10 @@
     capacity: WireCapacity
     address: str
     zone: str
+    born: Count
     labels: list[str] = []
     clock_ms: Count = 0
     remaining_ms: Count = 0
-    born: Count = 0
 
 
 class WireOrderAnswer(msgspec.Struct, rename="kebab"):
@@ -101,9 +101,9 @@
     """
 
     clock_ms: Count
+    born: Count
     running: list[list[Any]] = []
     ended: list[list[Any]] = []
-    born: Count = 0
 
 
 def decode_announcement(name: str, body: bytes) -> WorkerAnnouncement | None:
@@ -146,7 +146,7 @@
     if outcome is None:
         reason = f"answered with status {answer.status} {wire.reason}".rstrip()
         return OrderAnswer(OrderOutcome.UNKNOWN, wire.clock_ms, reason)
-    return OrderAnswer(outcome, wire.clock_ms)
+    return OrderAnswer(outcome, wire.clock_ms, born_ms=wire.born)
 
 
 def decode_poll(answer: HttpAnswer) -> PollResult:
--- a/hickorywing/workermonitor.py
+++ b/hickorywing/workermonitor.py
@@ -32,6 +32,9 @@
 # controller to acknowledge it.
 ACKNOWLEDGE_WAIT_S = 0.3
 RETRY_S = 0.1
+# For this long after an answer, the next call reaches the same incarnation: a
+# worker takes longer to start.
+MAX_ANSWER_AGE_S = 0.5
 # After this many refused connections in a row the worker's process is assumed
 # to have ended with all its runs. A single refusal may happen while the
 # worker's listener is replaced.
@@ -119,17 +122,35 @@
             or self._incarnations.needs_check
         )
 
+    def _choose_terms(self, followed: Incarnation) -> tuple[int, int]:
+        """Return the lease and the acknowledged ends that a poll may carry.
+
+        Both belong to one incarnation. A poll that may reach another one under
+        the same name carries none, and the next one follows at once.
+        """
+        if not self._has_just_answered(followed):
+            return 0, 0
+        lease_ms = self._forward_lease(followed, followed.lease_ms)
+        return lease_ms, followed.acknowledged
+
+    def _has_just_answered(self, followed: Incarnation) -> bool:
+        return (
+            not self._silent
+            and now_s() - followed.answered_s < MAX_ANSWER_AGE_S
+            and not self._incarnations.may_have_restarted()
+        )
+
     def _choose_wait_s(self, followed: Incarnation) -> float:
         """Return for how long the next poll may wait for an end of a run.
 
-        The first answer after a silence is reported without delay. Checks of
-        announcements follow each other with pauses.
+        The first answer after a silence or a pause is reported without delay.
+        Checks of announcements follow each other with pauses.
         """
-        if not self._present or not followed.is_confirmed or self._silent:
+        if not self._present or not followed.is_confirmed:
             return 0.0
         if self._incarnations.needs_check:
             return max(0.0, self._last_check_s + RETRY_S - now_s())
-        return POLL_WAIT_S
+        return POLL_WAIT_S if self._has_just_answered(followed) else 0.0
 
     async def _poll_once(self, followed: Incarnation) -> None:
         incarnations = self._incarnations
@@ -138,14 +159,12 @@
         checking = incarnations.needs_check
         checked = incarnations.list_unconfirmed()
         epoch = self.epoch
-        lease_ms = self._forward_lease(followed, followed.lease_ms)
+        lease_ms, acknowledged = self._choose_terms(followed)
         self._poll_interrupted.clear()
         self._poll_waits = wait_s == POLL_WAIT_S
         try:
             poll = await self._await_poll(
-                self._worker.poll(
-                    name, epoch, lease_ms, followed.acknowledged, wait_s
-                )
+                self._worker.poll(name, epoch, lease_ms, acknowledged, wait_s)
             )
         except WorkerReplaced as error:
             incarnations.end_name(name, checked, str(error))
@@ -167,7 +186,6 @@
         if incarnations.followed is not followed:
             self._end_presence()
         if not confirmed:
-            await asyncio.sleep(RETRY_S)
             return
         self._apply_poll(incarnations.followed, poll, epoch)
         incarnations.check(checked, poll)
@@ -236,10 +254,9 @@
 
         A worker that hangs or is cut off does not refuse connections, unlike
         one whose process has ended. Refusals don't count before the first
-        answer, as the worker may not listen yet, unless it is leaving.
+        answer, as the worker may not listen yet.
         """
-        counts = followed.is_confirmed or self._incarnations.is_leaving
-        refused = isinstance(error, WorkerGone) and counts
+        refused = isinstance(error, WorkerGone) and followed.is_confirmed
         followed.refusals = followed.refusals + 1 if refused else 0
         if followed.refusals >= MAX_REFUSALS:
             self._incarnations.end(str(error))
@@ -350,15 +367,26 @@
         followed = self._incarnations.followed
         self._busy = True
         self._forward_lease(followed, order.lease_ms)
-        answer = await self._worker.start(order, followed.announcement.name)
+        announcement = followed.announcement
+        answer = await self._worker.start(order, announcement.name)
         self._poll_due.set()
+        if answer.born_ms not in (0, announcement.born_ms):
+            # The worker has restarted under its name.
+            return OrderAnswer(
+                OrderOutcome.UNKNOWN, reason="another life has answered"
+            )
         return answer
 
     def _check_start(self, order: StartOrder) -> OrderOutcome | None:
         if not self._record_epoch(order.epoch):
             return OrderOutcome.OLD_EPOCH
         followed = self._incarnations.followed
-        if followed is None or order.worker != followed.key:
+        if (
+            followed is None
+            or order.worker != followed.key
+            or not followed.is_confirmed
+            or self._incarnations.may_have_restarted()
+        ):
             return OrderOutcome.OTHER_WORKER
         if followed.announcement.draining or self._silent:
             return OrderOutcome.REFUSED
--- a/tests/test_workermonitor.py
+++ b/tests/test_workermonitor.py
@@ -37,14 +37,15 @@
         self.epochs: list[int] = []
         self.starts: list[StartOrder] = []
         self.leases: list[int] = []
+        self.terms: list[tuple[int, int, int]] = []
         self.renewed = asyncio.Event()
 
     async def start(self, order: StartOrder, name: str) -> OrderAnswer:
         self.starts.append(order)
-        return OrderAnswer(OrderOutcome.OK, 1000)
+        return OrderAnswer(OrderOutcome.OK, 1000, born_ms=self.born_ms)
 
     async def stop(self, order, name) -> OrderAnswer:
-        return OrderAnswer(OrderOutcome.OK, 1000)
+        return OrderAnswer(OrderOutcome.OK, 1000, born_ms=self.born_ms)
 
     async def poll(
         self, name, epoch, lease_ms, acknowledged, wait_s
@@ -57,6 +58,7 @@
             raise WorkerReplaced("another name")
         self.epochs.append(epoch)
         self.leases.append(lease_ms)
+        self.terms.append((self.born_ms, lease_ms, acknowledged))
         if lease_ms:
             self.renewed.set()
         await asyncio.sleep(wait_s)
@@ -110,7 +112,7 @@
         while not report.silent:
             report = await self.ask(busy=True)
 
-    async def ask(self, epoch=1, busy=False, wait_s=0.5, lease_ms=0):
+    async def ask(self, epoch=1, busy=False, wait_s=0.5, lease_ms=0, noted=0):
         order = WatchOrder(
             pool="p",
             epoch=epoch,
@@ -119,9 +121,18 @@
             busy=busy,
             wait_s=wait_s,
             lease_ms=lease_ms,
+            noted=noted,
         )
         return await self.monitor.watch(order)
 
+    async def wait_for(self, check, busy=False):
+        """Return the first report for which ``check`` holds."""
+        async with asyncio.timeout(3):
+            while True:
+                report = await self.ask(busy=busy)
+                if check(report):
+                    return report
+
     async def start(self, epoch=1, expires_ms=5000) -> OrderOutcome:
         answer = await self.monitor.start(
             StartOrder(
@@ -317,12 +328,69 @@
                 announce(name=name, born_ms=born_ms, clock_ms=1)
             )
             began_s = now_s()
-            report = await agent.ask(busy=busy)
-            while report.worker != f"a1/{name}@{born_ms}":
-                report = await agent.ask(busy=busy)
+            report = await agent.wait_for(
+                lambda report: report.worker == f"a1/{name}@{born_ms}", busy
+            )
             assert report.left == "a1/i-1@100"
             assert now_s() - began_s < self.NOTICE_S
 
+    @pytest.mark.parametrize("busy", [False, True])
+    async def test_unannounced(self, busy):
+        async with Agent() as agent:
+            agent.monitor.announce(announce())
+            await agent.ask(busy=busy)
+            await agent.ask(busy=busy, wait_s=0.1)
+            agent.worker.born_ms = 200
+            agent.monitor.leave("i-1")  # Makes the agent ask an idle worker.
+            began_s = now_s()
+            await agent.wait_for(
+                lambda report: report.left == "a1/i-1@100", busy
+            )
+            assert now_s() - began_s < self.NOTICE_S
+            agent.monitor.announce(announce(born_ms=200))
+            report = await agent.ask(busy=busy)
+            assert (report.worker, report.left) == ("a1/i-1@200", "a1/i-1@100")
+
+    async def test_among_many_claims(self):
+        async with Agent() as agent:
+            agent.monitor.announce(announce())
+            await agent.ask(busy=True)
+            await agent.ask(busy=True, wait_s=0.1)
+            agent.worker.born_ms = 200
+            agent.monitor.announce(announce(born_ms=200))
+            for number in range(20):
+                agent.monitor.announce(announce(born_ms=300 + number))
+            began_s = now_s()
+            await agent.wait_for(
+                lambda report: report.worker == "a1/i-1@200", busy=True
+            )
+            assert now_s() - began_s < self.NOTICE_S
+
+    async def test_late_departure_while_the_new_one_does_not_listen(self):
+        async with Agent() as agent:
+            agent.worker.gone = True
+            agent.monitor.announce(announce())
+            agent.monitor.leave("i-1")
+            await asyncio.sleep(0.5)
+            agent.worker.gone = False
+            began_s = now_s()
+            await agent.wait_for(lambda report: report.worker == "a1/i-1@100")
+            assert now_s() - began_s < self.NOTICE_S
+
+    async def test_claimed_clock_before_the_first_answer(self):
+        async with Agent() as agent:
+            agent.worker.silent = True
+            agent.monitor.announce(announce())
+            agent.monitor.announce(announce(clock_ms=2**53, draining=True))
+            await asyncio.sleep(0.3)
+            agent.worker.silent = False
+            began_s = now_s()
+            report = await agent.wait_for(
+                lambda report: report.worker == "a1/i-1@100"
+            )
+            assert now_s() - began_s < self.NOTICE_S
+            assert not report.draining
+
     async def test_departure(self):
         async with Agent() as agent:
             agent.monitor.announce(announce())
@@ -332,11 +400,51 @@
             await asyncio.sleep(0.3)
             agent.worker.gone = True
             began_s = now_s()
-            while (await agent.ask()).left != "a1/i-1@100":
-                pass
+            await agent.wait_for(lambda report: report.left == "a1/i-1@100")
             assert now_s() - began_s < 2 * self.NOTICE_S
 
 
+class TestNextLife:
+    """Orders for an incarnation took effect on the next one of its name."""
+
+    async def follow(self, agent: Agent) -> None:
+        """Follow a worker with a lease and an acknowledged end."""
+        agent.monitor.announce(announce())
+        await agent.ask(busy=True)
+        for wait_s in (0.3, 0.0):
+            await agent.ask(busy=True, wait_s=wait_s, lease_ms=5000, noted=57)
+        await agent.wait_for(
+            lambda _: (100, 5000, 57) in agent.worker.terms, busy=True
+        )
+
+    @pytest.mark.parametrize("busy", [False, True])
+    async def test_lease_and_acknowledged_ends(self, busy):
+        async with Agent() as agent:
+            await self.follow(agent)
+            await agent.ask(busy=busy, wait_s=0.0, noted=57)
+            await asyncio.sleep(1.2)
+            agent.worker.born_ms = 200
+            agent.monitor.announce(announce(born_ms=200))
+            report = await agent.ask(busy=busy)
+            assert report.worker == "a1/i-1@200"
+            await asyncio.sleep(0.2)
+            given = {terms for terms in agent.worker.terms if terms[0] == 200}
+            assert given == {(200, 0, 0)}
+
+    async def test_start_after_a_restart_was_announced(self):
+        async with Agent() as agent:
+            await self.follow(agent)
+            agent.monitor.announce(announce(born_ms=200))
+            assert await agent.start() is OrderOutcome.OTHER_WORKER
+            assert not agent.worker.starts
+
+    async def test_start_before_a_restart_is_announced(self):
+        async with Agent() as agent:
+            await self.follow(agent)
+            agent.worker.born_ms = 200
+            assert await agent.start() is OrderOutcome.UNKNOWN
+
+
 class TestEpochs:
     """A new controller's epoch reaches a busy worker at once."""
 
@@ -366,11 +474,13 @@
     async def test_forwards_a_start(self):
         async with Agent() as agent:
             agent.monitor.announce(announce())
+            await agent.ask()
             assert await agent.start() is OrderOutcome.OK
 
     async def test_refuses_while_draining(self):
         async with Agent() as agent:
             agent.monitor.announce(announce())
+            await agent.ask()
             agent.monitor.announce(announce(sequence=2, draining=True))
             assert await agent.start() is OrderOutcome.REFUSED
             assert not agent.worker.starts
@@ -378,12 +488,23 @@
     async def test_refuses_an_expired_order(self):
         async with Agent() as agent:
             agent.monitor.announce(announce())
+            await agent.ask()
             assert await agent.start(expires_ms=900) is OrderOutcome.LATE
 
     async def test_refuses_an_order_for_another_incarnation(self):
         async with Agent() as agent:
+            agent.worker.born_ms = 300
             agent.monitor.announce(announce(born_ms=300))
+            await agent.ask()
             assert await agent.start() is OrderOutcome.OTHER_WORKER
+            assert not agent.worker.starts
+
+    async def test_refuses_before_the_worker_has_answered(self):
+        async with Agent() as agent:
+            agent.worker.silent = True
+            agent.monitor.announce(announce())
+            assert await agent.start() is OrderOutcome.OTHER_WORKER
+            assert not agent.worker.starts
 
     async def test_refuses_while_the_worker_is_silent(self):
         async with Agent() as agent:
