Stop a start without an answer before its worker's restart ends it

Callers saw a task run twice: a start had no answer, its worker restarted under its name, and the task was placed elsewhere at once. The new incarnation then carried out the start that was still on its way, as its header names only the id.

A report names the incarnation that left, and mostly the new one with it. The controller handled the former first and ended all its members as lost, so the stop at the new incarnation, meant for this case, was never reached.

A member whose start may come late is now kept: the new incarnation of the same name is told to stop it, one of another name refuses the start and the member ends as lost, and without either the last lease is waited for. All others end at once as before.

--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -132,6 +132,15 @@
     first_percent_at_s: float | None = None
     pace_recorded: bool = False
 
+    @property
+    def may_start_late(self) -> bool:
+        """Return whether a start order may still be carried out.
+
+        An order without an answer may be carried out seconds later. A task
+        that was seen running after a single order was started by that order.
+        """
+        return self.tries > 1 or (self.tries == 1 and not self.seen)
+
     def record_progress(self, percent: int, now_s: float) -> None:
         """Record the progress in percent, if it has changed."""
         if percent != self.percent:
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -229,7 +229,10 @@
         about to start there gets a new one with its first start order.
         """
         if link is None:
-            return now > self._previous_leases_end_s
+            lease_end_s = self.reports.get_lease_end_s(item.member.worker)
+            return now > max(
+                self._previous_leases_end_s, lease_end_s + LEASE_SLACK_S
+            )
         if item.member.tries == 0 and link.can_grant():
             return False
         return now > link.lease_end_s + LEASE_SLACK_S or link.has_no_lease()
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -60,6 +60,7 @@
         self._log = log
         self._metrics = metrics
         self._known: dict[str, KnownWorker] = {}
+        self._awaited_leases: dict[str, float] = {}
 
     @property
     def worker_pace(self) -> WorkerPace:
@@ -118,12 +119,37 @@
             return True
         return bool(self._jobs.members.on_worker(link.worker))
 
+    def get_lease_end_s(self, worker: str) -> float:
+        """Return when the last lease of a worker that has left ends.
+
+        The result is negative infinity if none of its members is waited for.
+        """
+        return self._awaited_leases.get(worker, float("-inf"))
+
     def _remove_worker(self, worker: str) -> None:
-        """Remove a worker that has left, and end its members as lost."""
+        """Remove a worker that has left, and end its members as lost.
+
+        Its next incarnation may carry out a start order without an answer if
+        it has the same name. Such a member is stopped there, or given up once
+        the lease has ended.
+        """
         self._log.write(LogEvent.WORKER_LEFT, worker=worker)
+        lease_end_s = self._workers[worker].lease_end_s
         self._drop_worker(worker)
-        for item in self._jobs.members.on_worker(worker):
-            self._jobs.end_member(item, Ending.LOST)
+        members = self._jobs.members
+        for item in members.on_worker(worker):
+            if item.member.may_start_late:
+                item.unit.stopping = item.unit.stopping or "its worker left"
+            else:
+                self._jobs.end_member(item, Ending.LOST)
+        self._awaited_leases = {
+            name: end_s
+            for name, end_s in self._awaited_leases.items()
+            if members.on_worker(name)
+        }
+        if members.on_worker(worker):
+            self._awaited_leases[worker] = lease_end_s
+            self._schedule_plan()
 
     def _drop_worker(self, worker: str) -> None:
         """Drop all data on an incarnation that has ended."""
--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -86,7 +86,8 @@
     earlier incarnations. ``address`` is that of the worker, ``agent`` that to
     which its heartbeats go. Tests set ``state`` and ``remaining_ms``, which
     are sent in heartbeats, and ``lose_answers``, the number of next starts
-    whose answer comes too late.
+    whose answer comes too late. A start is carried out ``hold_starts_s``
+    seconds after it was received, by the incarnation of that time.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self.state = "ready"
         self.remaining_ms = 0
         self.lose_answers = 0
+        self.hold_starts_s = 0.0
         self.gone = False
         self._pool = pool
         self._zone = zone
@@ -253,6 +255,7 @@
         repeated order for the run in progress is answered as if it were new.
         """
         body = msgspec.json.decode(await request.read())
+        await asyncio.sleep(self.hold_starts_s)
         if not self._accept_epoch(body):
             return self._refuse("fence")
         task, run = body["task"], body["run"]
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -267,6 +267,10 @@
                     lines.append(json.loads(line))
         return lines
 
+    def list_events(self) -> set[str]:
+        """Return the kinds of lines that were logged."""
+        return {line["event"] for line in self.read_log_lines()}
+
     async def wait(self, check, timeout_s: float = START_TIMEOUT_S) -> None:
         """Wait until ``check``, plain or async, returns a true value."""
         loop = asyncio.get_running_loop()
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -168,6 +168,24 @@
             await system.wait_status(JOB + "a", "completed")
             assert [start.run for start in system.list_starts()] == [1, 2]
 
+    async def test_start_without_an_answer_outlives_a_crash(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
+            held = system.workers["w0"]
+            system.workers["w1"].state = "draining"
+            await system.wait(
+                lambda: "worker draining" in system.list_events()
+            )
+            held.hold_starts_s = 1.5
+            await system.submit(JOB + "d", run_s=3)
+            await system.wait(lambda: "run placed" in system.list_events())
+            await asyncio.sleep(0.1)
+            held.hold_starts_s = 0.0
+            system.workers["w1"].state = "ready"
+            await system.wait(lambda: "worker back" in system.list_events())
+            held.crash()
+            await system.wait_status(JOB + "d", "completed")
+            assert system.check_runs() == {JOB + "d.0.0.0"}
+
     async def test_draining_worker_gets_no_start(self, tmp_path):
         async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
             system.workers["w0"].state = "draining"
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -7,6 +7,7 @@
 from poolhelpers import make_job
 from poolhelpers import make_step
 from poolhelpers import RecordedLog
+import pytest
 
 from hickorywing.clock import now_s
 from hickorywing.committer import Committer
@@ -40,6 +41,7 @@
 from hickorywing.progressrows import StoredProgress
 from hickorywing.rows import RowKey
 from hickorywing.runcontrol import ControllerTerms
+from hickorywing.runcontrol import LEASE_SLACK_S
 from hickorywing.runcontrol import RunControl
 from hickorywing.standins.rowstore import MemoryRowStore
 from hickorywing.standins.rowstore import StoreFault
@@ -320,6 +322,77 @@
             self.report(control, link, 200)
             assert not unit.running
 
+    def leave(self, control: Control, link: FakeLink, successor: str) -> None:
+        """Report that a worker has ended, and maybe its next incarnation."""
+        link.worker = successor
+        link.now_ms = 100
+        control.runs.reports.handle_report(
+            link,
+            WorkerReport(
+                left="vm/i-1@1", worker=successor, clock_ms=100, looked_ms=100
+            ),
+        )
+
+    def run_with_starts(
+        self, control: Control, link: FakeLink, tries: int, seen: bool
+    ) -> Unit:
+        """Return a unit that is placed on a worker, after start orders."""
+        self.report(control, link, 50)
+        state = self.run_on(control, link.worker)
+        unit = state.units[(0, 0, 0)]
+        unit.members[0].tries = tries
+        unit.members[0].seen = seen
+        return unit
+
+    @pytest.mark.parametrize(("tries", "seen"), [(1, False), (2, True)])
+    @pytest.mark.parametrize("reports", [["vm/i-1@2"], ["", "vm/i-1@2"]])
+    async def test_start_without_an_answer_is_stopped_first(
+        self, reports, tries, seen
+    ):
+        async with Control() as control:
+            link = FakeLink("vm/i-1@1")
+            unit = self.run_with_starts(control, link, tries, seen)
+            for successor in reports:
+                self.leave(control, link, successor)
+            assert unit.running
+            await control.wait(lambda: link.stops)
+            assert link.stops == [("vm/i-1@2", "j1.0.0.0", 1)]
+            self.report(control, link, 200)
+            assert unit.members[0].ending is Ending.STOPPED
+
+    @pytest.mark.parametrize(("tries", "seen"), [(0, False), (1, True)])
+    @pytest.mark.parametrize("successor", ["", "vm/i-1@2", "vm/i-2@2"])
+    async def test_run_without_a_pending_start_is_lost_at_once(
+        self, successor, tries, seen
+    ):
+        async with Control() as control:
+            link = FakeLink("vm/i-1@1")
+            unit = self.run_with_starts(control, link, tries, seen)
+            self.leave(control, link, successor)
+            assert unit.members[0].ending is Ending.LOST
+
+    async def test_successor_of_another_name_refuses_the_start(self):
+        async with Control() as control:
+            link = FakeLink("vm/i-1@1")
+            unit = self.run_with_starts(control, link, 1, seen=False)
+            self.leave(control, link, "vm/i-2@2")
+            assert unit.members[0].ending is Ending.LOST
+
+    async def test_start_without_an_answer_is_awaited_until_the_lease_ends(
+        self,
+    ):
+        async with Control() as control:
+            link = FakeLink("vm/i-1@1")
+            unit = self.run_with_starts(control, link, 1, seen=False)
+            control.runs._previous_leases_end_s = now_s()
+            link.lease_end_s = now_s() + 0.2
+            self.leave(control, link, "")
+            control.runs.tick(0.0)
+            assert unit.running
+            await asyncio.sleep(0.2 + LEASE_SLACK_S)
+            control.runs.tick(0.0)
+            assert unit.members[0].ending is Ending.LAPSED
+
 
 class TestLateEnds:
     """The end of a run counts even if it is listed after the run was given up.
