Take an agent's reports only for the worker on its own VM

A controller took reports by the names in them. Where the rows of two agents named one address, as after a write of another writer, two links followed one worker and took it from each other at every report: workers were found 12 times in one play over real processes instead of twice, each time without the ends that were listed and the leases that the other link had granted. A report could also end the worker of another VM by naming it as left.

A link now knows its agent's name, which begins the names of its workers. An answer for another VM counts as no answer: it grants no lease, starts nothing and ends nothing.

Evidence: both unit tests of such a report and the test with two rows failed before and pass now.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -70,8 +70,9 @@
 class AgentLink:
     """Watches one worker through its agent and sends orders to it.
 
-    ``on_report`` is called with each report. ``report`` is the latest report
-    and ``last_contact_s`` the time at which the call that brought it was sent.
+    ``agent`` is the agent's name, which is that of its VM. ``on_report`` is
+    called with each report. ``report`` is the latest report and
+    ``last_contact_s`` the time at which the call that brought it was sent.
     ``lease_end_s`` is the latest time at which the worker can still run
     anything for this controller. ``silent`` says that the last call got no
     answer, and ``busy`` that this controller has work at the worker. Ends of
@@ -81,11 +82,13 @@
 
     def __init__(
         self,
+        agent: str,
         address: str,
         terms: LinkTerms,
         http: HttpClient,
         on_report: Callable[["AgentLink", WorkerReport], None],
     ) -> None:
+        self.agent = agent
         self.address = address
         self.report: WorkerReport | None = None
         self.last_contact_s: float | None = None
@@ -255,12 +258,26 @@
         finally:
             watch.cancel()
             outdated.cancel()
-        if isinstance(report, str):
-            self._record_silence(report)
+        refusal = (
+            report if isinstance(report, str) else self._find_refusal(report)
+        )
+        if refusal:
+            self._record_silence(refusal)
             return False
         self._apply_report(report, sent_s)
         return True
 
+    def _find_refusal(self, report: WorkerReport) -> str:
+        """Return why a report can't be used, empty if it can.
+
+        An agent answers only for the worker on its own VM. A row with a wrong
+        address may lead to another one.
+        """
+        for worker in (report.worker, report.left):
+            if worker and not worker.startswith(f"{self.agent}/"):
+                return f"the agent answers for {worker}"
+        return ""
+
     def _record_silence(self, reason: str) -> None:
         """Mark the agent as silent and log it, once until it answers again."""
         if not self.silent:
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -420,6 +420,7 @@
                 return
             known_link[1].cancel()
         link = AgentLink(
+            name,
             agent.address,
             self._link_terms,
             self._http,
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -94,6 +94,7 @@
     The store and the workers are emulators in this process; agents and
     entries are processes of their own. Each entry reaches the store through
     its own ``FaultyStore``, in ``entry_stores`` under the entry's name.
+    ``links`` has the addresses of the agents, by the names of their workers.
     ``other_pools`` names pools with one worker each, beside those of ``POOL``.
     The names of workers end with ``suffix``.
     """
@@ -109,6 +110,7 @@
         self.store = MemoryRowStore()
         self.entry_stores: dict[str, FaultyStore] = {}
         self.workers: dict[str, PlatformWorkerStandin] = {}
+        self.links: dict[str, str] = {}
         self.entries: dict[str, str] = {}
         self.readiness_addresses: dict[str, str] = {}
         self._folder = folder
@@ -164,13 +166,14 @@
         )
         self.workers[name] = worker
         await self._serve(worker.make_app(), address)
+        self.links[name] = find_free_address()
         self._tasks.append(asyncio.ensure_future(worker.run()))
         settings = {
             "name": name,
             "zone": zone,
             "pool": pool,
             "listen": control,
-            "link": find_free_address(),
+            "link": self.links[name],
             "worker": address,
             "store": self.store_address,
         }
@@ -267,6 +270,15 @@
                     lines.append(json.loads(line))
         return lines
 
+    def write_agent_row(self, agent: str, address: str) -> None:
+        """Write the row of an agent as another writer."""
+        row = msgspec.msgpack.encode([address, "z0", POOL])
+        self.store.put(RowKey("agents", POOL, agent), row)
+
+    def count_events(self, event: str) -> int:
+        """Return how many lines of an event were logged."""
+        return sum(line["event"] == event for line in self.read_log_lines())
+
     def list_events(self) -> set[str]:
         """Return the kinds of lines that were logged."""
         return {line["event"] for line in self.read_log_lines()}
--- a/tests/test_agentlink.py
+++ b/tests/test_agentlink.py
@@ -29,8 +29,10 @@
     log = DecisionLog("e0", "entry", Metrics("e0"), RecordedLog())
     until_s = now_s() + no_successor_for_s
     terms = LinkTerms("p", 1, LEASE_LIMIT_S, lambda: until_s, log)
-    link = AgentLink("nowhere", terms, HttpClient(), lambda *_: None)
-    link._apply_report(WorkerReport(worker="w", clock_ms=CLOCK_MS), now_s())
+    link = AgentLink("vm", "nowhere", terms, HttpClient(), lambda *_: None)
+    link._apply_report(
+        WorkerReport(worker="vm/i@1", clock_ms=CLOCK_MS), now_s()
+    )
     return link
 
 
@@ -42,10 +44,48 @@
 
     async def call(self, method, url, timeout_s, body, **_) -> HttpAnswer:
         self.orders.append(msgspec.msgpack.decode(body, type=WatchOrder))
-        report = WorkerReport(worker="w", clock_ms=CLOCK_MS)
+        report = WorkerReport(worker="vm/i@1", clock_ms=CLOCK_MS)
         return HttpAnswer(200, msgspec.msgpack.encode(report))
 
 
+class OtherAgent(AnsweringAgent):
+    """Answers for a worker that is not on the VM that is called."""
+
+    def __init__(self, **names: str) -> None:
+        super().__init__()
+        self.report = WorkerReport(clock_ms=CLOCK_MS, **names)
+
+    async def call(self, method, url, timeout_s, body, **_) -> HttpAnswer:
+        return HttpAnswer(200, msgspec.msgpack.encode(self.report))
+
+
+class TestOtherAgent:
+    """An agent speaks only for the worker on its own VM.
+
+    The rows of two agents named one address, so two links followed the same
+    worker, and each report replaced what the other had recorded.
+    """
+
+    @pytest.mark.parametrize("field", ["worker", "left"])
+    async def test_report_for_another_vm_has_no_effect(self, field):
+        link = make_link(1.0)
+        reports = []
+        link._on_report = lambda _, report: reports.append(report)
+        link._http = OtherAgent(**{field: "vm2/i@1"})
+        assert not await link._watch_once()
+        assert not reports
+        assert link.worker == "vm/i@1"
+        assert link.is_silent()
+
+    async def test_report_for_its_own_vm_is_used(self):
+        link = make_link(1.0)
+        reports = []
+        link._on_report = lambda _, report: reports.append(report)
+        link._http = OtherAgent(worker="vm/i@2", left="vm/i@1")
+        assert await link._watch_once()
+        assert [report.worker for report in reports] == ["vm/i@2"]
+
+
 class TestLeases:
     """A lease expires before a successor treats the work as ended."""
 
@@ -86,7 +126,7 @@
         link._record_silence("no answer")
         assert link.silent
         link._apply_report(
-            WorkerReport(worker="w", clock_ms=CLOCK_MS), now_s()
+            WorkerReport(worker="vm/i@1", clock_ms=CLOCK_MS), now_s()
         )
         assert not link.silent
         assert link.grant_lease_ms()
@@ -97,7 +137,7 @@
         granted_ms = link.grant_lease_ms() - CLOCK_MS
         assert granted_ms == pytest.approx(1000 * FIRST_LEASE_S, abs=100)
         link._apply_report(
-            WorkerReport(worker="w", clock_ms=CLOCK_MS), now_s()
+            WorkerReport(worker="vm/i@1", clock_ms=CLOCK_MS), now_s()
         )
         granted_ms = link.grant_lease_ms() - CLOCK_MS
         assert granted_ms == pytest.approx(1000 * LEASE_LIMIT_S, abs=100)
@@ -120,14 +160,16 @@
         link = make_link(1.0)
         link.grant_lease_ms()
         before_s = link.lease_end_s
-        report = WorkerReport(worker="w", clock_ms=CLOCK_MS, silent=True)
+        report = WorkerReport(worker="vm/i@1", clock_ms=CLOCK_MS, silent=True)
         link._apply_report(report, now_s())
         assert link.grant_lease_ms() == 0
         assert link.lease_end_s == before_s
 
     def test_draining_worker_gets_short_leases(self):
         link = make_link(1.0)
-        report = WorkerReport(worker="w", clock_ms=CLOCK_MS, draining=True)
+        report = WorkerReport(
+            worker="vm/i@1", clock_ms=CLOCK_MS, draining=True
+        )
         link._apply_report(report, now_s())
         granted_ms = link.grant_lease_ms() - CLOCK_MS
         assert granted_ms == pytest.approx(1000 * LEAVING_LEASE_S, abs=100)
@@ -141,7 +183,7 @@
             (CLOCK_MS + 13_000, True, True),
         ):
             report = WorkerReport(
-                worker="w",
+                worker="vm/i@1",
                 clock_ms=clock_ms,
                 looked_ms=CLOCK_MS,
                 silent=silent,
@@ -153,7 +195,7 @@
     def test_lease_that_was_forwarded_late(self):
         link = make_link(1.0)
         report = WorkerReport(
-            worker="w",
+            worker="vm/i@1",
             clock_ms=CLOCK_MS + 13_000,
             looked_ms=CLOCK_MS,
             silent=True,
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -323,6 +323,19 @@
         )
 
 
+class TestAgentRows:
+    """Rows of agents that another writer, or a delayed write, has changed."""
+
+    async def test_two_rows_with_one_address(self, tmp_path):
+        async with PlatformSystem(tmp_path, entries=1) as system:
+            system.write_agent_row("w9", system.links["w0"])
+            await system.wait(lambda: system.count_events("agent found") == 3)
+            await system.submit(JOB + "0", run_s=3, count=4, gpu=4)
+            await system.wait_status(JOB + "0", "completed")
+            assert len(system.list_starts()) == 4
+            assert system.count_events("worker found") == 2
+
+
 class TestConfiguration:
     """Entries follow the operator's configuration.
 
