Keep the link to an agent until it answers at its new address

A row with another address for a living agent, by another writer or by a delayed write, ended the link to it at once, and nothing led back: the agent writes its row only at its start. Its worker's leases were no longer renewed, so its work lapsed after one lease. Starts still went to the old address, but no end of a run there was ever read: the job of the test over real processes never completed, with the address of another agent as well as with that of nobody.

The controller now calls the agent at both addresses and replaces the link only once the agent has answered at the new one for its own worker; the leases that were granted through the earlier link are still counted. An agent that truly moved is found by the same first call as before. The links of a term are kept by a class of their own.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -218,6 +218,10 @@
         ahead_ms = MAX_CLOCK_SLOWNESS * (report.clock_ms - report.looked_ms)
         return report.clock_ms - ahead_ms > end_ms + EXPIRY_SLACK_MS
 
+    def adopt_leases(self, previous: "AgentLink") -> None:
+        """Count the leases that the link to an earlier address granted."""
+        self.lease_end_s = max(self.lease_end_s, previous.lease_end_s)
+
     def acknowledge_ends(self, number: int) -> None:
         """Let the worker forget the ends of runs up to a number."""
         if number > self.acknowledged:
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -12,12 +12,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 import time
-import traceback
 
 import msgspec
 
-from hickorywing.agentlink import AgentLink
 from hickorywing.agentlink import LinkTerms
+from hickorywing.agentlinks import AgentLinks
 from hickorywing.clock import now_s
 from hickorywing.committer import Committer
 from hickorywing.decisions import DecisionLog
@@ -144,11 +143,9 @@
         self._pool = lease.pool
         self._lease = lease
         self._store = parts.store
-        self._http = parts.http
         self._metrics = parts.metrics
         self._log = log
-        self._links: dict[str, tuple[AgentLink, asyncio.Task[None]]] = {}
-        self._link_terms = LinkTerms(
+        link_terms = LinkTerms(
             lease.pool,
             lease.epoch,
             terms.lease_limit_s,
@@ -169,16 +166,18 @@
             log,
             parts.metrics,
         )
+        self._links = AgentLinks(
+            link_terms, parts.http, self._runs.reports.handle_report
+        )
 
     def _is_settled(self) -> bool:
         """Return whether enough workers are known to make a plan.
 
         A plan over the first few would preempt work although others have room.
         """
-        links = [link for link, _ in self._links.values()]
-        workers = {link.worker for link in links} - {""}
+        workers = {link.worker for link in self._links} - {""}
         all_known = self._agents_read and all(
-            link.knows_worker() for link in links
+            link.knows_worker() for link in self._links
         )
         return self._settling.is_settled(now_s(), workers, all_known)
 
@@ -207,9 +206,9 @@
             await self._close(tasks)
 
     async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
-        tasks.extend(watching for _, watching in self._links.values())
         for task in tasks:
             task.cancel()
+        tasks.extend(self._links.close())
         self._runs.close()
         await asyncio.gather(*tasks, return_exceptions=True)
 
@@ -406,8 +405,6 @@
         )
 
     def _handle_agent_row(self, row: StoredRow) -> None:
-        name = row.key.key
-        known_link = self._links.get(name)
         if row.value is None:
             return
         try:
@@ -415,32 +412,7 @@
         except RowUnreadable as error:
             log_unreadable(self._log, row, error)
             return
-        if known_link is not None:
-            if known_link[0].address == agent.address:
-                return
-            known_link[1].cancel()
-        link = AgentLink(
-            name,
-            agent.address,
-            self._link_terms,
-            self._http,
-            self._runs.reports.handle_report,
-        )
-        self._links[name] = (link, asyncio.ensure_future(self._watch(link)))
-        self._log.write(
-            LogEvent.AGENT_FOUND, agent=name, address=agent.address
-        )
-
-    async def _watch(self, link: AgentLink) -> None:
-        """Watch an agent's worker; restart after an unexpected error."""
-        while True:
-            try:
-                await link.run()
-            except Exception:
-                self._log.write(
-                    LogEvent.TASK_FAILED, trace=traceback.format_exc()
-                )
-                await asyncio.sleep(RETRY_S)
+        self._links.set_address(row.key.key, agent.address)
 
     async def _tick(self) -> None:
         """Run the periodic work: ticks, queue counts and removal of jobs."""
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -335,6 +335,18 @@
             assert len(system.list_starts()) == 4
             assert system.count_events("worker found") == 2
 
+    async def test_address_of_another_agent(self, tmp_path):
+        async with PlatformSystem(tmp_path, entries=1) as system:
+            # Longer than a lease.
+            await system.submit(JOB + "0", run_s=12, count=4, gpu=4)
+            await system.wait(lambda: len(system.list_starts()) == 4)
+            system.write_agent_row("w0", system.links["w1"])
+            await system.wait_status(JOB + "0", "completed")
+            assert len(system.list_starts()) == 4
+            await system.submit(JOB + "1", count=4, gpu=4)
+            await system.wait_status(JOB + "1", "completed")
+            assert len(system.workers["w0"].starts) > 2
+
 
 class TestConfiguration:
     """Entries follow the operator's configuration.
