Let an agent that nobody calls put its row right

An agent wrote its row only at its start. Once somebody had changed the row, or a write of its earlier process took effect late, the present controller kept its link, but every later one read the wrong row: it never called the agent and gave up its worker's living work after one lease, and the worker stayed unused.

An agent that no controller has called for 5 s now reads its row and writes it again if it isn't its own, well within the lease of 10 s of its worker's work. An agent that is called reads nothing.

--- a/hickorywing/poolagent.py
+++ b/hickorywing/poolagent.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
 
 from blacksheep import Application
@@ -15,11 +16,13 @@
 from blacksheep import Response
 import msgspec
 
+from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
 from hickorywing.decoding import decode_msgpack
 from hickorywing.httpclient import HttpClient
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
+from hickorywing.orders import Order
 from hickorywing.orders import StartOrder
 from hickorywing.orders import StopOrder
 from hickorywing.orders import WatchOrder
@@ -52,6 +55,9 @@
 __all__ = ["OrderApi", "PoolAgent", "main"]
 
 RETRY_S = 0.5
+# A controller calls at least every two seconds. An agent that isn't called for
+# this long, half a lease, checks that controllers can find it.
+UNCALLED_S = 5.0
 
 
 class OrderApi:
@@ -59,6 +65,11 @@
 
     def __init__(self, monitor: WorkerMonitor) -> None:
         self._monitor = monitor
+        self._called_s = now_s()
+
+    def count_uncalled_s(self) -> float:
+        """Return the seconds since the last call."""
+        return now_s() - self._called_s
 
     def install(self, app: Application) -> None:
         """Add the routes to an application."""
@@ -68,26 +79,27 @@
 
     async def handle_watch(self, request: Request) -> Response:
         """Answer a watch with a report of the worker."""
-        order = await read_order(request, WatchOrder)
+        order = await self._read(request, WatchOrder)
         return answer_message(await self._monitor.watch(order))
 
     async def handle_start(self, request: Request) -> Response:
         """Forward a start order to the worker and answer with its outcome."""
-        order = await read_order(request, StartOrder)
+        order = await self._read(request, StartOrder)
         return answer_message(await self._monitor.start(order))
 
     async def handle_stop(self, request: Request) -> Response:
         """Forward a stop order to the worker and answer with its outcome."""
-        order = await read_order(request, StopOrder)
+        order = await self._read(request, StopOrder)
         return answer_message(await self._monitor.stop(order))
 
+    async def _read(self, request: Request, order_type: type[Order]) -> Order:
+        """Decode the order in a request.
 
-async def read_order(request: Request, order_type: type) -> object:
-    """Decode the order in a request.
-
-    Raises ``DecodingError`` if the body is not such an order.
-    """
-    return decode_msgpack(await request.read() or b"", order_type)
+        Raises ``DecodingError`` if the body is not such an order.
+        """
+        order = decode_msgpack(await request.read() or b"", order_type)
+        self._called_s = now_s()
+        return order
 
 
 def answer_message(message: msgspec.Struct) -> Response:
@@ -125,6 +137,28 @@
         await asyncio.sleep(RETRY_S)
 
 
+async def keep_registered(
+    store: RowStore,
+    name: str,
+    row: AgentRow,
+    count_uncalled_s: Callable[[], float],
+    log: DecisionLog,
+) -> None:
+    """Write an agent's row, and write it again if somebody has changed it.
+
+    The row is read again only while no controller calls, as one that read a
+    wrong row can't find the agent.
+    """
+    left_s = 0.0
+    while True:
+        if left_s <= 0:
+            await register_agent(store, name, row, log)
+            await asyncio.sleep(UNCALLED_S)
+        else:
+            await asyncio.sleep(left_s)
+        left_s = UNCALLED_S - count_uncalled_s()
+
+
 class PoolAgent:
     """Creates and connects the parts of one agent."""
 
@@ -154,7 +188,8 @@
             self._metrics,
         ).install(worker_app)
         order_app = make_app(self._log)
-        OrderApi(monitor).install(order_app)
+        order_api = OrderApi(monitor)
+        order_api.install(order_app)
         serve_metrics(order_app, self._metrics)
         servers = [
             WebServer(worker_app, settings.listen),
@@ -166,7 +201,13 @@
         tasks = [
             start_critical_task(monitor.run(), self._log_failure),
             start_critical_task(
-                register_agent(store, settings.name, row, self._log),
+                keep_registered(
+                    store,
+                    settings.name,
+                    row,
+                    order_api.count_uncalled_s,
+                    self._log,
+                ),
                 self._log_failure,
             ),
         ]
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -347,6 +347,19 @@
             await system.wait_status(JOB + "1", "completed")
             assert len(system.workers["w0"].starts) > 2
 
+    async def test_wrong_row_that_a_successor_reads(self, tmp_path):
+        async with PlatformSystem(tmp_path) as system:
+            await system.submit(JOB + "0", run_s=12, count=4, gpu=4)
+            await system.wait(lambda: len(system.list_starts()) == 4)
+            # Until the second lease, which lasts longer than the first.
+            await asyncio.sleep(1.5)
+            system.write_agent_row("w0", system.links["w1"])
+            holder = system.find_controller()
+            other = next(name for name in system.entries if name != holder)
+            system.kill(holder)
+            await system.wait_status(JOB + "0", "completed", entry=other)
+            assert len(system.list_starts()) == 4
+
 
 class TestClaimedEpoch:
     """Somebody calls an agent with an epoch that no controller has."""
