Refuse calls to an agent by another pool's controllers

An agent took the epoch of any caller, though each pool counts its own. A controller of another pool that called over a wrong address, as after a move of the agent to another pool whose old row stays, shut out the agent's own controllers until their epoch was newer: over real processes one such call while a job ran made its worker's work unknown, and a task was started again after 10.7 s.

The agent now answers calls that don't name its pool with 409.

Evidence: the test of a call of another pool failed before, also without its check of the status (3 starts instead of 2), and passes now.

--- a/hickorywing/poolagent.py
+++ b/hickorywing/poolagent.py
@@ -7,8 +7,10 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from pathlib import Path
+from typing import TypeVar
 
 from blacksheep import Application
 from blacksheep import Content
@@ -47,6 +49,7 @@
 from hickorywing.settings import PoolAgentSettings
 from hickorywing.settings import read_settings
 from hickorywing.web import add_route
+from hickorywing.web import answer_json
 from hickorywing.web import make_app
 from hickorywing.web import serve_metrics
 from hickorywing.web import WebServer
@@ -54,6 +57,8 @@
 
 __all__ = ["OrderApi", "PoolAgent", "main"]
 
+OrderT = TypeVar("OrderT", bound=Order)
+
 RETRY_S = 0.5
 # A controller calls at least every two seconds. An agent that isn't called for
 # this long, half a lease, checks that controllers can find it.
@@ -61,10 +66,15 @@
 
 
 class OrderApi:
-    """Handles the calls of controllers: watch, start and stop."""
+    """Handles the calls of a pool's controllers: watch, start and stop.
+
+    Calls of another pool's controllers, which may have read a wrong address,
+    are refused, as their epochs are counted on their own.
+    """
 
-    def __init__(self, monitor: WorkerMonitor) -> None:
+    def __init__(self, monitor: WorkerMonitor, pool: str) -> None:
         self._monitor = monitor
+        self._pool = pool
         self._called_s = now_s()
 
     def count_uncalled_s(self) -> float:
@@ -79,27 +89,31 @@
 
     async def handle_watch(self, request: Request) -> Response:
         """Answer a watch with a report of the worker."""
-        order = await self._read(request, WatchOrder)
-        return answer_message(await self._monitor.watch(order))
+        return await self._handle(request, WatchOrder, self._monitor.watch)
 
     async def handle_start(self, request: Request) -> Response:
         """Forward a start order to the worker and answer with its outcome."""
-        order = await self._read(request, StartOrder)
-        return answer_message(await self._monitor.start(order))
+        return await self._handle(request, StartOrder, self._monitor.start)
 
     async def handle_stop(self, request: Request) -> Response:
         """Forward a stop order to the worker and answer with its outcome."""
-        order = await self._read(request, StopOrder)
-        return answer_message(await self._monitor.stop(order))
+        return await self._handle(request, StopOrder, self._monitor.stop)
 
-    async def _read(self, request: Request, order_type: type[Order]) -> Order:
-        """Decode the order in a request.
+    async def _handle(
+        self,
+        request: Request,
+        order_type: type[OrderT],
+        carry_out: Callable[[OrderT], Awaitable[msgspec.Struct]],
+    ) -> Response:
+        """Decode an order and carry it out if it is of the agent's pool.
 
         Raises ``DecodingError`` if the body is not such an order.
         """
         order = decode_msgpack(await request.read() or b"", order_type)
+        if order.pool != self._pool:
+            return answer_json(409, {"reason": f"of pool {self._pool}"})
         self._called_s = now_s()
-        return order
+        return answer_message(await carry_out(order))
 
 
 def answer_message(message: msgspec.Struct) -> Response:
@@ -188,7 +202,7 @@
             self._metrics,
         ).install(worker_app)
         order_app = make_app(self._log)
-        order_api = OrderApi(monitor)
+        order_api = OrderApi(monitor, settings.pool)
         order_api.install(order_app)
         serve_metrics(order_app, self._metrics)
         servers = [
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -435,10 +435,12 @@
             1.0,
         )
 
-    async def claim_epoch(self, worker: str, epoch: int) -> None:
+    async def claim_epoch(
+        self, worker: str, epoch: int, pool: str = POOL
+    ) -> HttpAnswer:
         """Call an agent as the controller of a term that doesn't exist."""
-        order = WatchOrder(pool=POOL, epoch=epoch, worker="")
-        await self.http.call(
+        order = WatchOrder(pool=pool, epoch=epoch, worker="")
+        return await self.http.call(
             "POST",
             f"http://{self.links[worker]}/watch",
             1.0,
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -379,6 +379,18 @@
                 )
             )
 
+    async def test_of_another_pool(self, tmp_path):
+        async with PlatformSystem(tmp_path, entries=1) as system:
+            await system.submit(JOB + "0", run_s=3, count=2, gpu=8)
+            await system.wait(lambda: len(system.list_starts()) == 2)
+            answer = await system.claim_epoch("w0", 1_000_000, "pool-2")
+            assert answer.status == 409
+            await system.wait_status(JOB + "0", "completed")
+            assert len(system.list_starts()) == 2
+            assert system.count_events("agent silent") == 0
+            await system.submit(JOB + "1", count=2, gpu=8)
+            await system.wait_status(JOB + "1", "completed")
+
 
 class TestConfiguration:
     """Entries follow the operator's configuration.
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -31,7 +31,7 @@
         http = HttpClient()
         worker = PlatformWorker("127.0.0.1:1", http)
         app = make_app(log)
-        OrderApi(WorkerMonitor("vm1", worker, log)).install(app)
+        OrderApi(WorkerMonitor("vm1", worker, log), "p").install(app)
         HandoverApi(lambda pool: None, None, log).install(app)
         HolderCheckApi(lambda pool: None, http).install(app)
         server = WebServer(app, find_free_address())
