Note the ends of runs at an agent that knows a newer epoch

Where somebody has called an agent with an epoch that no term has, the controller now keeps its role, but took no report of that agent: a task that was done there lapsed with its lease and was started again, 10.8 s later over real processes. The same happened before, as every term ended at once.

The agent polls its worker as before, so its report is used: ends are noted. The agent still counts as silent, and gets neither leases nor orders nor new work.

Evidence: the test of it failed before (3 starts instead of 2) and passes now.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -264,33 +264,37 @@
         finally:
             watch.cancel()
             outdated.cancel()
-        if isinstance(report, str):
-            refusal = report
-        else:
-            refusal = self._find_refusal(report)
-            if report.epoch > self._newest_epoch:
-                self._newest_epoch = report.epoch
-                self._terms.check_role()
+        refusal = (
+            report if isinstance(report, str) else self._find_refusal(report)
+        )
         if refusal:
             self._record_silence(refusal)
             return False
         self._apply_report(report, sent_s)
-        return True
+        return not self.silent
 
     def _find_refusal(self, report: WorkerReport) -> str:
         """Return why a report can't be used, empty if it can.
 
         An agent answers only for the worker on its own VM. A row with a wrong
-        address may lead to another one. One that knows a newer epoch passes on
-        neither leases nor orders.
+        address may lead to another one.
         """
-        if report.epoch > self._terms.epoch:
-            return f"the agent knows of epoch {report.epoch}"
         for worker in (report.worker, report.left):
             if worker and not worker.startswith(f"{self.agent}/"):
                 return f"the agent answers for {worker}"
         return ""
 
+    def _record_newer_epoch(self, epoch: int) -> None:
+        """Treat an agent that knows a newer epoch as silent.
+
+        It passes on neither leases nor orders, but what its worker lists is
+        true, and the ends of runs must not be missed.
+        """
+        if epoch > self._newest_epoch:
+            self._newest_epoch = epoch
+            self._terms.check_role()
+        self._record_silence(f"the agent knows of epoch {epoch}")
+
     def _record_silence(self, reason: str) -> None:
         """Mark the agent as silent and log it, once until it answers again."""
         if not self.silent:
@@ -303,7 +307,9 @@
             )
 
     def _apply_report(self, report: WorkerReport, sent_s: float) -> None:
-        if self.silent:
+        if report.epoch > self._terms.epoch:
+            self._record_newer_epoch(report.epoch)
+        elif self.silent:
             self.silent = False
             self._terms.log.write(
                 LogEvent.AGENT_ANSWERS,
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -379,6 +379,14 @@
                 )
             )
 
+    async def test_ends_of_runs_are_still_noted(self, tmp_path):
+        async with PlatformSystem(tmp_path, entries=1) as system:
+            await system.submit(JOB + "0", run_s=3, count=2, gpu=8)
+            await system.wait(lambda: len(system.list_starts()) == 2)
+            await system.claim_epoch("w0", 1_000_000)
+            await system.wait_status(JOB + "0", "completed")
+            assert len(system.list_starts()) == 2
+
     async def test_of_another_pool(self, tmp_path):
         async with PlatformSystem(tmp_path, entries=1) as system:
             await system.submit(JOB + "0", run_s=3, count=2, gpu=8)
