Count an entry's answer to an offer only for the entry that was asked

While the store is silent, a holder renews the leases of running work as long as every other entry confirms that it has not taken the role. It asked them at the addresses in their rows. With the address of one entry in another's row, by another writer, the same entry confirmed twice and the other one, which might have reached the store and taken the role, wasn't asked at all: both would have granted leases, which may end in tasks that run twice. An entry puts its row right within 5 s, but only while the store answers.

An answer to an offer now names its entry and counts as none if that isn't the one that was asked. Entries of the build before give no name; their answers count as before, and they ignore the new field.

--- a/hickorywing/handover.py
+++ b/hickorywing/handover.py
@@ -76,13 +76,15 @@
     entry may have held one. The holder got no confirmation from it in that
     time, so that process can't have declared a worker lost before the holder's
     leases there had expired. ``head_start_s`` is how long the entry lets
-    stronger candidates go first.
+    stronger candidates go first. ``entry`` is the name of the entry that
+    answers, empty in answers of earlier builds.
     """
 
     accepted: bool = False
     term: Count = 0
     vouches: bool = False
     head_start_s: Number = 0.0
+    entry: str = ""
 
 
 async def offer_role(
@@ -100,7 +102,7 @@
     for begin in range(0, len(entries), MAX_CONCURRENT_OFFERS):
         batch = entries[begin : begin + MAX_CONCURRENT_OFFERS]
         answers = await asyncio.gather(
-            *(send_offer(address, body, http) for _, address in batch)
+            *(send_offer(name, address, body, http) for name, address in batch)
         )
         for (name, _), answer in zip(batch, answers, strict=True):
             if answer.accepted:
@@ -129,7 +131,11 @@
     answers = await asyncio.gather(
         *(
             send_offer(
-                peers.addresses[name], inquiry, http, PLANNED_OFFER_TIMEOUT_S
+                name,
+                peers.addresses[name],
+                inquiry,
+                http,
+                PLANNED_OFFER_TIMEOUT_S,
             )
             for name in names
         )
@@ -144,7 +150,7 @@
     offer = msgspec.json.encode(RoleOffer(pool, epoch, planned=True))
     for _, _, name in sorted(candidates):
         answer = await send_offer(
-            peers.addresses[name], offer, http, PLANNED_OFFER_TIMEOUT_S
+            name, peers.addresses[name], offer, http, PLANNED_OFFER_TIMEOUT_S
         )
         if answer.accepted:
             return name
@@ -152,31 +158,41 @@
 
 
 async def send_offer(
+    name: str,
     address: str,
     body: bytes,
     http: HttpClient,
     timeout_s: float = OFFER_TIMEOUT_S,
 ) -> OfferAnswer:
-    """Send an offer to an entry; return a refusal if it does not answer."""
+    """Send an offer to an entry; return a refusal if it does not answer.
+
+    Its row may have the address of another entry, which can't answer for it.
+    """
     try:
-        answer = await http.call(
+        response = await http.call(
             "POST", f"http://{address}/take-role", timeout_s, body
         )
-        return decode_json(answer.body, OfferAnswer)
+        answer = decode_json(response.body, OfferAnswer)
     except (CallError, DecodingError):
         # The caller logs the outcome of its offers.
         return OfferAnswer()
+    return answer if answer.entry in ("", name) else OfferAnswer()
 
 
 class HandoverApi:
-    """Serves the route on which other entries offer the role."""
+    """Serves the route on which other entries offer the role.
+
+    ``name`` is the name of this entry.
+    """
 
     def __init__(
         self,
+        name: str,
         find: FindLease,
         read_epoch: Callable[[str], Awaitable[int | None]],
         log: DecisionLog,
     ) -> None:
+        self._name = name
         self._find = find
         self._read_epoch = read_epoch
         self._log = log
@@ -192,7 +208,7 @@
         if lease is None:
             # Not a candidate yet, for example if the store was silent since
             # start.
-            return answer_json(409, OfferAnswer(vouches=True))
+            return self._answer(OfferAnswer(vouches=True))
         if offer.planned:
             return self._handle_planned_offer(offer, lease)
         stored_epoch = await self._read_epoch(offer.pool)
@@ -207,7 +223,14 @@
         )
         if answer.accepted:
             lease.accept_handover(offer.epoch)
-        return answer_json(200 if answer.accepted else 409, answer)
+        return self._answer(answer)
+
+    def _answer(self, answer: OfferAnswer) -> Response:
+        """Return a response that names this entry."""
+        return answer_json(
+            200 if answer.accepted else 409,
+            msgspec.structs.replace(answer, entry=self._name),
+        )
 
     def _handle_planned_offer(
         self, offer: RoleOffer, lease: PoolLease
@@ -227,7 +250,7 @@
             )
             if answer.accepted:
                 lease.accept_handover(offer.epoch, sole_candidate=True)
-        return answer_json(200 if answer.accepted else 409, answer)
+        return self._answer(answer)
 
 
 def answer_offer(
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -160,7 +160,9 @@
         async def read_epoch(pool: str) -> int | None:
             return await read_holder_epoch(store, pool)
 
-        HandoverApi(self._find_lease, read_epoch, self._log).install(app)
+        HandoverApi(
+            self._settings.name, self._find_lease, read_epoch, self._log
+        ).install(app)
         HolderCheckApi(self._find_lease, http).install(app)
         serve_metrics(app, self._metrics)
         return app
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,15 +3,26 @@
 import asyncio
 
 import msgspec
+from platformsystem import find_free_address
+from poolhelpers import RecordedLog
+import pytest
 
 from hickorywing.clock import now_s
+from hickorywing.decisions import DecisionLog
 from hickorywing.handover import hand_over_role
+from hickorywing.handover import HandoverApi
 from hickorywing.handover import offer_role
 from hickorywing.handover import OFFER_TIMEOUT_S
 from hickorywing.handover import OfferAnswer
 from hickorywing.handover import RoleOffer
+from hickorywing.handover import send_offer
 from hickorywing.httpclient import CallTimeout
 from hickorywing.httpclient import HttpAnswer
+from hickorywing.httpclient import HttpClient
+from hickorywing.metrics import Metrics
+from hickorywing.succession import OfferOutcome
+from hickorywing.web import make_app
+from hickorywing.web import WebServer
 
 # As in an installation with hundreds of workers.
 ENTRIES = 35
@@ -88,6 +99,49 @@
         assert not outcome.newer_term
 
 
+class TestWrongAddress:
+    """The row of one entry has the address of another.
+
+    The other's answer confirms nothing about the entry that isn't asked, which
+    may have taken the role.
+    """
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            OfferAnswer(vouches=True, entry="e01"),
+            OfferAnswer(accepted=True, entry="e01"),
+            OfferAnswer(term=4, entry="e01"),
+        ],
+    )
+    async def test_answer_of_another_entry_counts_as_none(self, answer):
+        peers = Peers(3)
+        peers.answers["h00"] = answer
+        assert await peers.offer() == OfferOutcome()
+
+    @pytest.mark.parametrize("entry", ["e00", ""])
+    async def test_answer_of_the_entry_counts(self, entry):
+        peers = Peers(3)
+        peers.answers["h00"] = OfferAnswer(vouches=True, entry=entry)
+        assert (await peers.offer()).vouched
+
+    async def test_entry_names_itself(self):
+        log = DecisionLog("e0", "entry", Metrics("e0"), RecordedLog())
+        app = make_app(log)
+        HandoverApi("e0", lambda pool: None, None, log).install(app)
+        server = WebServer(app, find_free_address())
+        await server.start()
+        http = HttpClient()
+        body = msgspec.json.encode(RoleOffer("p", 3))
+        answers = [
+            await send_offer(name, server.address, body, http)
+            for name in ("e0", "e1")
+        ]
+        await http.close()
+        await server.stop()
+        assert [answer.vouches for answer in answers] == [True, False]
+
+
 class AcceptingEntries(Peers):
     """Entries that accept planned offers, some of them on weak VMs."""
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -32,7 +32,7 @@
         worker = PlatformWorker("127.0.0.1:1", http)
         app = make_app(log)
         OrderApi(WorkerMonitor("vm1", worker, log), "p").install(app)
-        HandoverApi(lambda pool: None, None, log).install(app)
+        HandoverApi("e0", lambda pool: None, None, log).install(app)
         HolderCheckApi(lambda pool: None, http).install(app)
         server = WebServer(app, find_free_address())
         await server.start()
