--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -57,21 +57,23 @@
     can have begun. A successor waits for the longest lease, ``lease_limit_s``
     seconds, from the beginning of its term. Leases that are counted from
     ``no_successor_before_s()`` at the latest have therefore expired when it
-    acts.
+    acts. ``check_role()`` is called when an agent knows a newer epoch.
     """
 
     pool: str
     epoch: int
     lease_limit_s: float
     no_successor_before_s: Callable[[], float]
+    check_role: Callable[[], None]
     log: DecisionLog
 
 
 class AgentLink:
     """Watches one worker through its agent and sends orders to it.
 
-    ``on_report`` is called with each report. ``report`` is the latest report
-    and ``last_contact_s`` the time at which the call that brought it was sent.
+    ``agent`` is the agent's name, which is that of its VM. ``on_report`` is
+    called with each report. ``report`` is the latest report and
+    ``last_contact_s`` the time at which the call that brought it was sent.
     ``lease_end_s`` is the latest time at which the worker can still run
     anything for this controller. ``silent`` says that the last call got no
     answer, and ``busy`` that this controller has work at the worker. Ends of
@@ -81,11 +83,13 @@
 
     def __init__(
         self,
+        agent: str,
         address: str,
         terms: LinkTerms,
         http: HttpClient,
         on_report: Callable[["AgentLink", WorkerReport], None],
     ) -> None:
+        self.agent = agent
         self.address = address
         self.report: WorkerReport | None = None
         self.last_contact_s: float | None = None
@@ -101,6 +105,7 @@
         self._report_received_s = 0.0
         self._busy_since_s = float("-inf")
         self.silent = False
+        self._newest_epoch = terms.epoch
         self._watch_outdated = asyncio.Event()
 
     @staticmethod
@@ -215,6 +220,10 @@
         ahead_ms = MAX_CLOCK_SLOWNESS * (report.clock_ms - report.looked_ms)
         return report.clock_ms - ahead_ms > end_ms + EXPIRY_SLACK_MS
 
+    def adopt_leases(self, previous: "AgentLink") -> None:
+        """Count the leases that the link to an earlier address granted."""
+        self.lease_end_s = max(self.lease_end_s, previous.lease_end_s)
+
     def acknowledge_ends(self, number: int) -> None:
         """Let the worker forget the ends of runs up to a number."""
         if number > self.acknowledged:
@@ -255,11 +264,36 @@
         finally:
             watch.cancel()
             outdated.cancel()
-        if isinstance(report, str):
-            self._record_silence(report)
+        refusal = (
+            report if isinstance(report, str) else self._find_refusal(report)
+        )
+        if refusal:
+            self._record_silence(refusal)
             return False
         self._apply_report(report, sent_s)
-        return True
+        return not self.silent
+
+    def _find_refusal(self, report: WorkerReport) -> str:
+        """Return why a report can't be used, empty if it can.
+
+        An agent answers only for the worker on its own VM. A row with a wrong
+        address may lead to another one.
+        """
+        for worker in (report.worker, report.left):
+            if worker and not worker.startswith(f"{self.agent}/"):
+                return f"the agent answers for {worker}"
+        return ""
+
+    def _record_newer_epoch(self, epoch: int) -> None:
+        """Treat an agent that knows a newer epoch as silent.
+
+        It passes on neither leases nor orders, but what its worker lists is
+        true, and the ends of runs must not be missed.
+        """
+        if epoch > self._newest_epoch:
+            self._newest_epoch = epoch
+            self._terms.check_role()
+        self._record_silence(f"the agent knows of epoch {epoch}")
 
     def _record_silence(self, reason: str) -> None:
         """Mark the agent as silent and log it, once until it answers again."""
@@ -273,7 +307,9 @@
             )
 
     def _apply_report(self, report: WorkerReport, sent_s: float) -> None:
-        if self.silent:
+        if report.epoch > self._terms.epoch:
+            self._record_newer_epoch(report.epoch)
+        elif self.silent:
             self.silent = False
             self._terms.log.write(
                 LogEvent.AGENT_ANSWERS,
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -168,6 +168,24 @@
             await system.wait_status(JOB + "a", "completed")
             assert [start.run for start in system.list_starts()] == [1, 2]
 
+    async def test_start_without_an_answer_outlives_a_crash(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
+            held = system.workers["w0"]
+            system.workers["w1"].state = "draining"
+            await system.wait(
+                lambda: "worker draining" in system.list_events()
+            )
+            held.hold_starts_s = 1.5
+            await system.submit(JOB + "d", run_s=3)
+            await system.wait(lambda: "run placed" in system.list_events())
+            await asyncio.sleep(0.1)
+            held.hold_starts_s = 0.0
+            system.workers["w1"].state = "ready"
+            await system.wait(lambda: "worker back" in system.list_events())
+            held.crash()
+            await system.wait_status(JOB + "d", "completed")
+            assert system.check_runs() == {JOB + "d.0.0.0"}
+
     async def test_draining_worker_gets_no_start(self, tmp_path):
         async with PlatformSystem(tmp_path, workers=2, entries=1) as system:
             system.workers["w0"].state = "draining"
@@ -305,6 +323,83 @@
         )
 
 
+class TestAgentRows:
+    """Rows of agents that another writer, or a delayed write, has changed."""
+
+    async def test_two_rows_with_one_address(self, tmp_path):
+        async with PlatformSystem(tmp_path, entries=1) as system:
+            system.write_agent_row("w9", system.links["w0"])
+            await system.wait(lambda: system.count_events("agent found") == 3)
+            await system.submit(JOB + "0", run_s=3, count=4, gpu=4)
+            await system.wait_status(JOB + "0", "completed")
+            assert len(system.list_starts()) == 4
+            assert system.count_events("worker found") == 2
+
+    async def test_address_of_another_agent(self, tmp_path):
+        async with PlatformSystem(tmp_path, entries=1) as system:
+            # Longer than a lease.
+            await system.submit(JOB + "0", run_s=12, count=4, gpu=4)
+            await system.wait(lambda: len(system.list_starts()) == 4)
+            system.write_agent_row("w0", system.links["w1"])
+            await system.wait_status(JOB + "0", "completed")
+            assert len(system.list_starts()) == 4
+            await system.submit(JOB + "1", count=4, gpu=4)
+            await system.wait_status(JOB + "1", "completed")
+            assert len(system.workers["w0"].starts) > 2
+
+    async def test_wrong_row_that_a_successor_reads(self, tmp_path):
+        async with PlatformSystem(tmp_path) as system:
+            await system.submit(JOB + "0", run_s=12, count=4, gpu=4)
+            await system.wait(lambda: len(system.list_starts()) == 4)
+            # Until the second lease, which lasts longer than the first.
+            await asyncio.sleep(1.5)
+            system.write_agent_row("w0", system.links["w1"])
+            holder = system.find_controller()
+            other = next(name for name in system.entries if name != holder)
+            system.kill(holder)
+            await system.wait_status(JOB + "0", "completed", entry=other)
+            assert len(system.list_starts()) == 4
+
+
+class TestClaimedEpoch:
+    """Somebody calls an agent with an epoch that no controller has."""
+
+    async def test_only_its_worker_is_not_used(self, tmp_path):
+        async with PlatformSystem(tmp_path, entries=1) as system:
+            await system.submit(JOB + "0", run_s=2, count=2, gpu=8)
+            await system.wait(lambda: len(system.list_starts()) == 2)
+            await system.claim_epoch("w0", 1_000_000)
+            await asyncio.sleep(2.0)
+            assert system.count_events("role lost") == 0
+            await system.submit(JOB + "1", count=8, gpu=1)
+            await system.wait_status(JOB + "1", "completed")
+            await system.wait(
+                lambda: (
+                    system.check_runs() >= {JOB + "0.0.0.0", JOB + "0.0.0.1"}
+                )
+            )
+
+    async def test_ends_of_runs_are_still_noted(self, tmp_path):
+        async with PlatformSystem(tmp_path, entries=1) as system:
+            await system.submit(JOB + "0", run_s=3, count=2, gpu=8)
+            await system.wait(lambda: len(system.list_starts()) == 2)
+            await system.claim_epoch("w0", 1_000_000)
+            await system.wait_status(JOB + "0", "completed")
+            assert len(system.list_starts()) == 2
+
+    async def test_of_another_pool(self, tmp_path):
+        async with PlatformSystem(tmp_path, entries=1) as system:
+            await system.submit(JOB + "0", run_s=3, count=2, gpu=8)
+            await system.wait(lambda: len(system.list_starts()) == 2)
+            answer = await system.claim_epoch("w0", 1_000_000, "pool-2")
+            assert answer.status == 409
+            await system.wait_status(JOB + "0", "completed")
+            assert len(system.list_starts()) == 2
+            assert system.count_events("agent silent") == 0
+            await system.submit(JOB + "1", count=2, gpu=8)
+            await system.wait_status(JOB + "1", "completed")
+
+
 class TestConfiguration:
     """Entries follow the operator's configuration.
 
