Send a start only if its worker still has the room

A worker's capacity may shrink while it runs. A start that was planned for the capacity from before, and that waited for its placement to be stored or for a silent worker, or that an earlier controller had stored, was sent all the same and brought the worker over its capacity.

The room is now checked when the start is sent, like the zone: what was started there and has not ended counts, also if it is being stopped. A start that fits no more is stopped, as an earlier order without an answer may still be carried out, and its unit is planned again.

--- a/hickorywing/policy/poolroom.py
+++ b/hickorywing/policy/poolroom.py
@@ -7,7 +7,7 @@
 from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolmodel import WorkerFacts
 
-__all__ = ["PoolRoom", "compute_room", "get_task_room"]
+__all__ = ["PoolRoom", "compute_room", "fit_together", "get_task_room"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +33,12 @@
     return Resources(0, step.resources.memory_mb, step.resources.accelerators)
 
 
+def fit_together(steps: Iterable[Step], capacity: Resources) -> bool:
+    """Return whether one task of each of these steps fits on a worker."""
+    held = sum((get_task_room(step) for step in steps), Resources())
+    return held.fits_in(capacity)
+
+
 def compute_room(
     workers: dict[str, WorkerFacts],
     open_members: Iterable[tuple[str, Step, bool]],
--- a/hickorywing/runorders.py
+++ b/hickorywing/runorders.py
@@ -11,7 +11,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-from collections.abc import Iterable
 
 from hickorywing.agentlink import AgentLink
 from hickorywing.clock import now_s
@@ -19,9 +18,11 @@
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.openmembers import OpenMember
+from hickorywing.openmembers import OpenMembers
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
 from hickorywing.orders import RunningRun
+from hickorywing.policy.poolroom import fit_together
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import Member
 from hickorywing.poolconfig import ConfigurationView
@@ -83,7 +84,7 @@
         """Return whether a worker has not rejected a start recently."""
         return now_s() >= self._distrusted_until_s.get(worker, 0.0)
 
-    def send_orders(self, members: Iterable[OpenMember]) -> None:
+    def send_orders(self, members: OpenMembers) -> None:
         """Send the start or stop order that each member needs now, if any."""
         for item in members:
             link = self._workers.get(item.member.worker)
@@ -93,7 +94,7 @@
                 if item.member.stopped_ms is None:
                     self._send_stop(item, link)
             elif item.unit.committed and not item.member.seen:
-                self._send_start(item, link)
+                self._send_start(item, link, members)
 
     def repeat_stop_if_running(self, member: Member, polled_ms: int) -> None:
         """Repeat the stop of a member that runs although it was confirmed.
@@ -142,19 +143,47 @@
 
         task.add_done_callback(finish)
 
-    def _send_start(self, item: OpenMember, link: AgentLink) -> None:
+    def _send_start(
+        self, item: OpenMember, link: AgentLink, members: OpenMembers
+    ) -> None:
         key = ("start", item.task, item.unit.run)
         if key in self._pending or not link.can_grant():
             return
         if self._view.age_s(now_s()) >= self._config_age_limit_s:
             return
-        if link.zone in self._view.zones_out:
+        obstacle = self._find_obstacle(item, link, members)
+        if obstacle:
             # An earlier order without an answer may still be carried out.
-            item.unit.stopping = "zone out of service"
+            item.unit.stopping = obstacle
             self._schedule_plan()
             return
+        # The starts that follow have to count this one.
+        item.member.tries += 1
         self._spawn(key, self._start(item, link))
 
+    def _find_obstacle(
+        self, item: OpenMember, link: AgentLink, members: OpenMembers
+    ) -> str:
+        """Return why a start may not be sent any more, empty if it may be.
+
+        Its worker may have changed since the run was planned. Runs that are
+        being stopped hold their room until their end is listed.
+        """
+        if link.zone in self._view.zones_out:
+            return "zone out of service"
+        report = link.report
+        if report is None:
+            return ""
+        started = (
+            other.step
+            for other in members.on_worker(item.member.worker)
+            if other.member is not item.member
+            and (other.member.seen or other.member.tries)
+        )
+        if not fit_together((item.step, *started), report.capacity):
+            return "its worker has less room"
+        return ""
+
     def _send_stop(self, item: OpenMember, link: AgentLink) -> None:
         key = ("stop", item.task, item.unit.run)
         if key not in self._pending:
@@ -162,7 +191,6 @@
 
     async def _start(self, item: OpenMember, link: AgentLink) -> None:
         unit, member, run = item.unit, item.member, item.unit.run
-        member.tries += 1
         sent_s = now_s()
         answer = await link.start(
             member.worker, item.task, run, item.state.job.payload, unit.saved
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -16,6 +16,7 @@
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
 from hickorywing.orders import WorkerReport
+from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolprogress import WorkerTerms
 from hickorywing.policy.poolruns import Ending
@@ -67,6 +68,7 @@
         self.grants = True
         self.silent = False
         self.outcome = OrderOutcome.OK
+        self.start_outcome = OrderOutcome.OK
         self.now_ms = 0
 
     def acknowledge_ends(self, number: int) -> None:
@@ -89,7 +91,7 @@
 
     async def start(self, worker: str, task: str, run: int, *_) -> OrderAnswer:
         self.starts.append((worker, task, run))
-        return OrderAnswer(OrderOutcome.OK, self.now_ms)
+        return OrderAnswer(self.start_outcome, self.now_ms)
 
     async def stop(self, worker: str, task: str, run: int) -> OrderAnswer:
         self.stops.append((worker, task, run))
@@ -660,6 +662,117 @@
             await control.wait(lambda: link.starts)
 
 
+class TestChangedWorkers:
+    """A start is sent only if its worker still has the room for it.
+
+    A worker's capacity may shrink and grow again while it runs. Guards against
+    a start that was planned for the capacity from before, and waited for a
+    silent worker or was stored by an earlier controller.
+    """
+
+    CAPACITY = Resources(128_000, 262_144, 8)
+
+    async def place(
+        self, control: Control, *jobs: str, step: Step | None = None
+    ) -> tuple[list[Unit], FakeLink]:
+        """Place jobs on a worker that can't be granted a lease yet."""
+        link = FakeLink("vm/i@1")
+        link.now_ms = 100
+        link.grants = False
+        self.report(control, link, self.CAPACITY)
+        units = []
+        for job in jobs:
+            state = control.accept(job, (step or make_step(4),))
+            unit = state.units[(0, 0, 0)]
+            control.runs.jobs.place(unit, [link.worker])
+            unit.committed = True
+            units.append(unit)
+        return units, link
+
+    def report(
+        self,
+        control: Control,
+        link: FakeLink,
+        capacity: Resources,
+        labels: tuple[str, ...] = ("a", "r1"),
+    ) -> None:
+        link.report = WorkerReport(
+            worker=link.worker,
+            zone=link.zone,
+            capacity=capacity,
+            labels=labels,
+            clock_ms=link.now_ms,
+        )
+        control.runs.reports.handle_report(link, link.report)
+
+    async def send_orders(self, control: Control, link: FakeLink) -> None:
+        link.grants = True
+        control.runs.schedule_plan()
+        await asyncio.sleep(0.05)
+
+    async def test_start_that_fits_no_more_is_not_sent(self):
+        async with Control() as control:
+            (unit,), link = await self.place(control, "j1")
+            self.report(control, link, Resources(128_000, 262_144, 2))
+            await self.send_orders(control, link)
+            assert link.starts == []
+            assert link.stops == [(link.worker, "j1.0.0.0", 1)]
+            assert unit.stopping == "its worker has less room"
+
+    async def test_only_starts_that_fit_are_sent(self):
+        async with Control() as control:
+            (_, second), link = await self.place(control, "j1", "j2")
+            self.report(control, link, Resources(128_000, 262_144, 4))
+            await self.send_orders(control, link)
+            assert link.starts == [(link.worker, "j1.0.0.0", 1)]
+            assert second.stopping
+
+    async def test_what_is_being_stopped_counts(self):
+        async with Control() as control:
+            (first, second), link = await self.place(control, "j1", "j2")
+            first.members[0].seen = True
+            first.stopping = "gives way"
+            link.outcome = OrderOutcome.UNKNOWN
+            self.report(control, link, Resources(128_000, 262_144, 4))
+            await self.send_orders(control, link)
+            assert link.starts == []
+            assert second.stopping
+
+    async def test_start_without_an_answer_is_not_repeated(self):
+        async with Control() as control:
+            (unit,), link = await self.place(control, "j1")
+            link.start_outcome = OrderOutcome.UNKNOWN
+            await self.send_orders(control, link)
+            assert len(link.starts) == 1
+            self.report(control, link, Resources(128_000, 262_144, 2))
+            await control.wait(lambda: link.stops)
+            assert len(link.starts) == 1
+            assert unit.stopping
+
+    async def test_start_that_an_earlier_controller_stored(self):
+        async with Control() as control:
+            state = JobState(make_job("j1", (make_step(4),)), 1, 0.0)
+            unit = state.units[(0, 0, 0)]
+            unit.place(["vm/i@1"], now_s())
+            unit.committed = True
+            control.runs.jobs.add(state, restored=True)
+            _, link = await self.place(control)
+            self.report(control, link, Resources(128_000, 262_144, 2))
+            await self.send_orders(control, link)
+            assert link.starts == []
+            assert unit.stopping
+
+    async def test_other_changes_of_the_capacity_do_not_matter(self):
+        async with Control() as control:
+            units, link = await self.place(control, "j1", "j2")
+            units[0].members[0].seen = True
+            self.report(control, link, Resources(2_000, 2_000, 8))
+            self.report(control, link, Resources(256_000, 262_144, 16))
+            await self.send_orders(control, link)
+            assert link.starts == [(link.worker, "j2.0.0.0", 1)]
+            assert not any(unit.stopping for unit in units)
+
+
 class TestStatusRows:
     """A status row is written only if the status has changed.
 
