Send no start to a worker that has lost the required label

A worker's report may change its labels. A start that waited was sent to a worker that no longer had the label that its step requires.

test_required_label_is_gone failed before; a change of another label still lets the start through.

--- a/hickorywing/runorders.py
+++ b/hickorywing/runorders.py
@@ -174,6 +174,9 @@
         report = link.report
         if report is None:
             return ""
+        label = item.step.required_label
+        if label and label not in report.labels:
+            return "its worker has lost a label"
         started = (
             other.step
             for other in members.on_worker(item.member.worker)
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -663,7 +663,7 @@
 
 
 class TestChangedWorkers:
-    """A start is sent only if its worker still has the room for it.
+    """A start is sent only if its worker still has the room and the label.
 
     A worker's capacity may shrink and grow again while it runs. Guards against
     a start that was planned for the capacity from before, and waited for a
@@ -762,6 +762,23 @@
             assert link.starts == []
             assert unit.stopping
 
+    async def test_required_label_is_gone(self):
+        async with Control() as control:
+            step = make_step(4, required_label="a")
+            (unit,), link = await self.place(control, "j1", step=step)
+            self.report(control, link, self.CAPACITY, labels=("b", "r1"))
+            await self.send_orders(control, link)
+            assert link.starts == []
+            assert unit.stopping == "its worker has lost a label"
+
+    async def test_other_label_has_changed(self):
+        async with Control() as control:
+            step = make_step(4, required_label="a")
+            _, link = await self.place(control, "j1", step=step)
+            self.report(control, link, self.CAPACITY, labels=("a", "r2"))
+            await self.send_orders(control, link)
+            assert link.starts == [(link.worker, "j1.0.0.0", 1)]
+
     async def test_other_changes_of_the_capacity_do_not_matter(self):
         async with Control() as control:
             units, link = await self.place(control, "j1", "j2")
