Don't take the overload of one worker from the free room of others

Whether a pool is busy enough to reserve room was measured by the sum of its free room. A worker whose capacity has shrunk below what runs there has less than none, which was taken from the room of others: with one such worker of two, the idle one was reserved for a waiting gang while small tasks waited beside it.

test_no_room_is_kept_while_the_others_are_idle failed before. The other tests of TestShrunkCapacity passed before: starts, growth, claims and preemption go by the present capacity, and no more is stopped than needed.

--- a/hickorywing/policy/poolreservation.py
+++ b/hickorywing/policy/poolreservation.py
@@ -55,7 +55,7 @@
         free: Mapping[str, Resources],
     ) -> None:
         total = sum((item.capacity for item in workers.values()), Resources())
-        left = sum(free.values(), Resources())
+        left = sum(map(drop_negative, free.values()), Resources())
         self.is_busy = (
             measure_utilization(total, left) >= MIN_RESERVE_UTILIZATION
         )
@@ -85,6 +85,19 @@
         self._accelerators += accelerators
 
 
+def drop_negative(room: Resources) -> Resources:
+    """Return a room with 0 for each resource that a worker has too little of.
+
+    A worker whose capacity has shrunk below what runs there has less than no
+    free room, which takes nothing from that of others.
+    """
+    return Resources(
+        max(0, room.cores_milli),
+        max(0, room.memory_mb),
+        max(0, room.accelerators),
+    )
+
+
 def measure_utilization(total: Resources, free: Resources) -> float:
     """Return the utilization of a pool's most used resource, from 0 to 1."""
     shares = (
--- a/tests/test_poolplanner.py
+++ b/tests/test_poolplanner.py
@@ -1,12 +1,14 @@
 """Tests of the pool's planner: placement, preemption and reservations."""
 
 from collections import Counter
+import dataclasses
 
 from poolhelpers import make_job
 from poolhelpers import make_step
 from poolhelpers import Pool
 
 from hickorywing.policy import poolplanner
+from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolruns import Ending
 
 # Searches in free room and in room being freed, with and without suspects.
@@ -369,6 +371,83 @@
         assert len(pool.run().starts) == 1
 
 
+class TestShrunkCapacity:
+    """Plans go by the present capacity, even if more than that runs there."""
+
+    def shrink(self, pool: Pool, worker: str, accelerators: int) -> None:
+        pool.facts[worker] = dataclasses.replace(
+            pool.facts[worker],
+            capacity=Resources(128_000, 262_144, accelerators),
+        )
+
+    def fill(self, pool: Pool, *workers: str) -> None:
+        """Run two tasks of four accelerators on each of some workers."""
+        for worker in workers:
+            for number in range(2):
+                name = f"{worker}.{number}"
+                pool.add(make_job(name, steps=(make_step(4),), priority=2))
+                unit = pool.jobs[name].units[(0, 0, 0)]
+                unit.place([worker], pool.now_s)
+
+    def test_nothing_starts_on_a_worker_that_holds_too_much(self):
+        pool = Pool(workers=1)
+        self.fill(pool, "w0")
+        self.shrink(pool, "w0", 4)
+        pool.add(make_job("new", steps=(make_step(1),)))
+        pool.add(make_job("idle", steps=(make_step(0),)))
+        plan = pool.run()
+        assert plan.starts == []
+        assert plan.stops == []
+
+    def test_room_is_used_once_it_has_grown(self):
+        pool = Pool(workers=1)
+        self.shrink(pool, "w0", 4)
+        pool.add(make_job("new", steps=(make_step(4, count=2),)))
+        assert len(pool.run().starts) == 1
+        assert len(pool.run().starts) == 0
+        self.shrink(pool, "w0", 8)
+        assert len(pool.run().starts) == 1
+
+    def test_urgent_unit_stops_no_more_than_it_needs(self):
+        pool = Pool(workers=2)
+        self.fill(pool, "w0", "w1")
+        pool.now_s += 10
+        self.shrink(pool, "w0", 4)
+        pool.add(make_job("new", steps=(make_step(4),), priority=0))
+        assert len(pool.run().stops) == 1
+        assert pool.run().stops == []
+
+    def test_claim_on_room_that_shrinks_is_made_anew(self):
+        pool = Pool(workers=2)
+        self.fill(pool, "w0")
+        self.fill(pool, "w1")
+        pool.now_s += 10
+        urgent = pool.add(make_job("u", steps=(make_step(8),), priority=0))
+        stops = pool.run().stops
+        (claim,) = pool.claims.values()
+        (worker,) = claim.workers
+        self.shrink(pool, worker, 4)
+        for victim, _ in stops:
+            victim.end(victim.members[0], Ending.STOPPED)
+            del pool.jobs[victim.job_id]
+        plan = pool.run()
+        assert plan.starts == []
+        assert len(plan.stops) == 2
+        assert worker not in pool.claims[("u", 0, 0, 0)].workers
+        assert not urgent.units[(0, 0, 0)].running
+
+    def test_no_room_is_kept_while_the_others_are_idle(self):
+        pool = Pool(workers=2)
+        self.fill(pool, "w0")
+        self.shrink(pool, "w0", 4)
+        wide = make_step(4, count=3, gang=True)
+        pool.add(make_job("wide", steps=(wide,)))
+        pool.now_s += 2.0
+        pool.add(make_job("small", steps=(make_step(1),)))
+        starts = [start.unit.job_id for start in pool.run().starts]
+        assert starts == ["small"]
+
+
 class TestReservationsAtScale:
     """Gangs of many customers wait for room at once in a large pool."""
 
