Keep no headroom on workers too small for urgent work

The workers with the least load are kept as headroom, and a worker whose capacity has shrunk to nothing has none: it took the place of one on which urgent work could start. Workers whose present capacity holds no task of a size that urgent work has asked for of late are now left out.

test_no_workers_that_are_too_small failed before: one of eight workers is large enough, and two small ones were kept.

--- a/hickorywing/policy/headroom.py
+++ b/hickorywing/policy/headroom.py
@@ -71,6 +71,8 @@
     def __init__(self) -> None:
         self._demand = PeakDemand()
         self._widest = PeakDemand()
+        # When urgent work last asked for tasks of each size.
+        self._needs: dict[Resources, float] = {}
         self._headroom: frozenset[str] = frozenset()
 
     def choose(
@@ -85,8 +87,9 @@
         """Return the workers on which less urgent work must not start.
 
         ``suspects`` are workers with recent failures, which are never kept.
-        Workers kept for the last plan are preferred, so that they empty as
-        their less urgent work ends.
+        Neither are workers too small for any recent urgent task, as a worker's
+        capacity may shrink to nothing. Workers kept for the last plan are
+        preferred, so that they empty as their less urgent work ends.
         """
         usable = {
             name: facts
@@ -94,6 +97,11 @@
             if name not in suspects
         }
         self._record_demand((*waiting, *running), usable, now_s)
+        usable = {
+            name: facts
+            for name, facts in usable.items()
+            if any(need.fits_in(facts.capacity) for need in self._needs)
+        }
         max_count = math.ceil(self._demand.get_peak(now_s))
         self._headroom = frozenset(
             choose_workers(
@@ -123,10 +131,16 @@
             if item.priority <= URGENT_PRIORITY:
                 needed = count_needed_workers(item.unit, item.step, common)
                 total += needed
+                self._needs[get_task_room(item.step)] = now_s
                 if prefers_rack(item.step):
                     widest_gang = max(widest_gang, needed)
         self._demand.record(now_s, total)
         self._widest.record(now_s, widest_gang)
+        self._needs = {
+            need: at_s
+            for need, at_s in self._needs.items()
+            if now_s - at_s <= DEMAND_WINDOW_S
+        }
 
 
 def find_common_capacity(workers: Iterable[WorkerFacts]) -> Resources:
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -1,5 +1,6 @@
 """Tests of the headroom that is kept for urgent work."""
 
+import dataclasses
 import functools
 import random
 
@@ -132,6 +133,18 @@
         assert not chosen & pool.slow
         assert len({pool.facts[worker].rack for worker in chosen}) == 1
 
+    def test_no_workers_that_are_too_small(self):
+        pool = self.make_pool(8, rack_size=8)
+        for number in range(8):
+            if number != 3:
+                worker = f"w{number}"
+                pool.facts[worker] = dataclasses.replace(
+                    pool.facts[worker], capacity=Resources(128_000, 262_144, 2)
+                )
+        pool.add(make_job("u", steps=(make_step(4),), priority=0))
+        pool.add(make_job("v", steps=(make_step(8, count=2),), priority=0))
+        assert self.choose(pool) == {"w3"}
+
     def test_whole_rack_for_a_gang_that_needs_one(self):
         pool = self.make_pool(36)
         pool.slow = {f"w{number}" for number in range(2, 36, 3)}
