Report a worker's changed capacity and labels at once

An agent answered a waiting watch when its worker began or ceased to drain, but not when its capacity or its labels changed. The controller learnt of it when the watch ended, up to two seconds later, and planned for the old capacity meanwhile; room that had grown stayed idle as long.

test_workermonitor::TestChangedWorker: four cases failed before. An announcement that changes nothing still answers no watch.

--- a/hickorywing/incarnations.py
+++ b/hickorywing/incarnations.py
@@ -64,7 +64,7 @@
 
     ``followed`` is ``None`` while no worker is known, and ``last_ended`` the
     key of the last one that has ended. ``on_change`` is called when one ends,
-    and when it begins or ceases to drain.
+    begins or ceases to drain, or announces another capacity or other labels.
     """
 
     def __init__(
@@ -241,9 +241,9 @@
         self, followed: Incarnation, announcement: WorkerAnnouncement
     ) -> None:
         """Apply a newer announcement of the incarnation that is followed."""
-        was_draining = followed.announcement.draining
+        last = followed.announcement
         followed.announcement = announcement
-        if announcement.draining != was_draining:
+        if announcement.draining != last.draining:
             self._log.write(
                 LogEvent.WORKER_DRAINING
                 if announcement.draining
@@ -251,6 +251,7 @@
                 worker=followed.key,
                 remaining_ms=announcement.remaining_ms,
             )
+        if summarize_terms(announcement) != summarize_terms(last):
             self._on_change()
         if followed.clock is not None:
             followed.clock.set_back(announcement.clock_ms)
@@ -283,3 +284,12 @@
             present=self.key,
             reason=reason,
         )
+
+
+def summarize_terms(announcement: WorkerAnnouncement) -> tuple:
+    """Return what a controller has to know at once of an announcement."""
+    return (
+        announcement.capacity,
+        announcement.labels,
+        announcement.draining,
+    )
--- a/tests/test_workermonitor.py
+++ b/tests/test_workermonitor.py
@@ -64,7 +64,13 @@
 
 
 def announce(
-    born_ms=100, sequence=1, draining=False, name="i-1", clock_ms=1000
+    born_ms=100,
+    sequence=1,
+    draining=False,
+    name="i-1",
+    clock_ms=1000,
+    accelerators=8,
+    labels=("a", "r1"),
 ) -> WorkerAnnouncement:
     return WorkerAnnouncement(
         worker=f"{name}@{born_ms}",
@@ -74,8 +80,8 @@
         pool="p",
         zone="z",
         address="127.0.0.1:1",
-        capacity=Resources(1000, 1000, 8),
-        labels=("a", "r1"),
+        capacity=Resources(1000, 1000, accelerators),
+        labels=labels,
         draining=draining,
         remaining_ms=0,
         clock_ms=clock_ms,
@@ -337,6 +343,47 @@
             assert now_s() - began_s < 2 * self.NOTICE_S
 
 
+class TestChangedWorker:
+    """What a worker may be given is reported as soon as it changes.
+
+    A watch of an idle worker waits for two seconds, in which a start could
+    bring the worker over a capacity that has shrunk.
+    """
+
+    @pytest.mark.parametrize("busy", [False, True])
+    @pytest.mark.parametrize(
+        "change", [{"accelerators": 2}, {"labels": ("b", "r1")}]
+    )
+    async def test_while_a_watch_waits(self, busy, change):
+        async with Agent() as agent:
+            agent.monitor.announce(announce())
+            while not (await agent.ask(busy=busy)).worker:
+                pass
+            await agent.ask(busy=busy, wait_s=0.1)
+            watch = asyncio.ensure_future(agent.ask(busy=busy, wait_s=2.0))
+            await asyncio.sleep(0.05)
+            began_s = now_s()
+            agent.monitor.announce(announce(sequence=2, **change))
+            report = await watch
+            assert now_s() - began_s < 0.1
+            announced = announce(**change)
+            assert report.capacity == announced.capacity
+            assert report.labels == announced.labels
+
+    async def test_same_announcement_answers_no_watch(self):
+        async with Agent() as agent:
+            agent.monitor.announce(announce())
+            while not (await agent.ask()).worker:
+                pass
+            await agent.ask(wait_s=0.1)
+            watch = asyncio.ensure_future(agent.ask(wait_s=0.3))
+            await asyncio.sleep(0.05)
+            agent.monitor.announce(announce(sequence=2))
+            await asyncio.sleep(0.1)
+            assert not watch.done()
+            await watch
+
+
 class TestEpochs:
     """A new controller's epoch reaches a busy worker at once."""
 
