Let the agent refuse a start that was checked against more room

A worker may announce a smaller capacity, or other labels, while a start order is on its way to it or while a link delays its agent's reports. The agent passed the order on, and the worker went over its capacity or ran a task without the label that its step requires.

A start order now names the capacity and the label that it was checked against, and the agent refuses it if its worker has announced less since. Orders of earlier builds name neither and are passed on as before; agents of earlier builds ignore both.

Failed before, as an order could name neither: all five cases of test_workermonitor::TestStarts::test_checks_what_the_controller_counted_on (two are refused) and test_order_names_what_it_was_checked_against.

--- a/hickorywing/agentlink.py
+++ b/hickorywing/agentlink.py
@@ -20,6 +20,7 @@
 from hickorywing.orders import StopOrder
 from hickorywing.orders import WatchOrder
 from hickorywing.orders import WorkerReport
+from hickorywing.policy.poolmodel import Resources
 
 __all__ = ["FIRST_LEASE_S", "ORDER_EXPIRY_S", "AgentLink", "LinkTerms"]
 
@@ -306,9 +307,20 @@
         )
 
     async def start(
-        self, worker: str, task: str, run: int, payload: str, saved: str
+        self,
+        worker: str,
+        task: str,
+        run: int,
+        payload: str,
+        saved: str,
+        capacity: Resources | None = None,
+        label: str = "",
     ) -> OrderAnswer:
-        """Order the start of a run; without an answer return ``UNKNOWN``."""
+        """Order the start of a run; without an answer return ``UNKNOWN``.
+
+        The agent refuses it if the worker has less than ``capacity`` by then,
+        or lacks the ``label``.
+        """
         clock_ms = self.clock_ms()
         return await self._order(
             "start",
@@ -322,6 +334,8 @@
                 payload=payload,
                 saved=saved,
                 expires_ms=clock_ms + int(ORDER_EXPIRY_S * 1000),
+                capacity=capacity,
+                label=label,
             ),
         )
 
--- a/hickorywing/orders.py
+++ b/hickorywing/orders.py
@@ -78,7 +78,9 @@
 
     ``saved`` names the state that the run resumes from. A ``ticket`` that is
     not empty is passed on to the worker. The order is refused after
-    ``expires_ms`` on the worker's clock.
+    ``expires_ms`` on the worker's clock, and if the worker has less than the
+    ``capacity`` that the run was checked against, or lacks the ``label`` that
+    it requires.
     """
 
     task: str
@@ -87,6 +89,8 @@
     saved: str = ""
     ticket: str = ""
     expires_ms: int = 0
+    capacity: Resources | None = None
+    label: str = ""
 
 
 class StopOrder(Order, frozen=True, kw_only=True):
--- a/hickorywing/runorders.py
+++ b/hickorywing/runorders.py
@@ -22,6 +22,7 @@
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
 from hickorywing.orders import RunningRun
+from hickorywing.orders import WorkerReport
 from hickorywing.policy.poolroom import fit_together
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import Member
@@ -159,7 +160,7 @@
             return
         # The starts that follow have to count this one.
         item.member.tries += 1
-        self._spawn(key, self._start(item, link))
+        self._spawn(key, self._start(item, link, link.report))
 
     def _find_obstacle(
         self, item: OpenMember, link: AgentLink, members: OpenMembers
@@ -192,11 +193,20 @@
         if key not in self._pending:
             self._spawn(key, self._stop(item, link))
 
-    async def _start(self, item: OpenMember, link: AgentLink) -> None:
+    async def _start(
+        self, item: OpenMember, link: AgentLink, report: WorkerReport | None
+    ) -> None:
+        """Order a start that was checked against this report."""
         unit, member, run = item.unit, item.member, item.unit.run
         sent_s = now_s()
         answer = await link.start(
-            member.worker, item.task, run, item.state.job.payload, unit.saved
+            member.worker,
+            item.task,
+            run,
+            item.state.job.payload,
+            unit.saved,
+            None if report is None else report.capacity,
+            item.step.required_label,
         )
         self._metrics.observe("order_seconds", now_s() - sent_s, order="start")
         self._log_order(LogEvent.START_ANSWERED, item, run, answer)
--- a/hickorywing/workermonitor.py
+++ b/hickorywing/workermonitor.py
@@ -362,6 +362,8 @@
             return OrderOutcome.OTHER_WORKER
         if followed.announcement.draining or self._silent:
             return OrderOutcome.REFUSED
+        if not meets_terms(followed.announcement, order):
+            return OrderOutcome.REFUSED
         clock = followed.clock
         if clock is None or clock.estimate_ms() > order.expires_ms:
             return OrderOutcome.LATE
@@ -380,6 +382,19 @@
         return answer
 
 
+def meets_terms(announcement: WorkerAnnouncement, order: StartOrder) -> bool:
+    """Return whether a worker still has what a start was checked against.
+
+    Its last announcement may be newer than the report that the controller
+    had when it sent the order.
+    """
+    if order.label and order.label not in announcement.labels:
+        return False
+    return order.capacity is None or order.capacity.fits_in(
+        announcement.capacity
+    )
+
+
 def summarize_runs(poll: PollResult) -> tuple:
     """Return what makes two polls differ: the running and the ended runs."""
     return (
--- a/tests/test_agentlink.py
+++ b/tests/test_agentlink.py
@@ -1,5 +1,7 @@
 """Test the leases that a controller grants through an agent."""
 
+from types import SimpleNamespace
+
 import msgspec
 from poolhelpers import RecordedLog
 import pytest
@@ -13,8 +15,12 @@
 from hickorywing.httpclient import HttpAnswer
 from hickorywing.httpclient import HttpClient
 from hickorywing.metrics import Metrics
+from hickorywing.orders import OrderAnswer
+from hickorywing.orders import OrderOutcome
+from hickorywing.orders import StartOrder
 from hickorywing.orders import WatchOrder
 from hickorywing.orders import WorkerReport
+from hickorywing.policy.poolmodel import Resources
 
 LEASE_LIMIT_S = 10.0
 CLOCK_MS = 500_000
@@ -163,6 +169,31 @@
         assert not link.has_no_lease()
 
 
+class TestStartOrders:
+    """A start order names what it depends on, so that the agent can check."""
+
+    async def test_capacity_and_label_arrive(self):
+        link = make_link(1.0)
+        bodies = []
+
+        async def call(method, url, timeout_s, body, **_) -> HttpAnswer:
+            bodies.append(body)
+            answer = OrderAnswer(OrderOutcome.OK)
+            return HttpAnswer(200, msgspec.msgpack.encode(answer))
+
+        link._http = SimpleNamespace(call=call)
+        capacity = Resources(1000, 2000, 3)
+        await link.start("w", "t.0.0.0", 1, "", "", capacity, "a")
+        order = msgspec.msgpack.decode(bodies[0], type=StartOrder)
+        assert (order.capacity, order.label) == (capacity, "a")
+
+    def test_order_of_an_earlier_build_has_neither(self):
+        fields = dict(pool="p", epoch=1, worker="w", task="t", run=1)
+        body = msgspec.msgpack.encode({**fields, "payload": ""})
+        order = msgspec.msgpack.decode(body, type=StartOrder)
+        assert (order.capacity, order.label) == (None, "")
+
+
 class TestKnowsWorker:
     """A new controller waits until each agent's worker is known."""
 
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -64,6 +64,7 @@
         self.lease_end_s = float("inf")
         self.zone = "z"
         self.starts: list[tuple[str, str, int]] = []
+        self.terms: list[tuple[Resources | None, str]] = []
         self.stops: list[tuple[str, str, int]] = []
         self.grants = True
         self.silent = False
@@ -89,8 +90,17 @@
     def is_silent(self) -> bool:
         return self.silent
 
-    async def start(self, worker: str, task: str, run: int, *_) -> OrderAnswer:
+    async def start(
+        self,
+        worker: str,
+        task: str,
+        run: int,
+        payload: str,
+        saved: str,
+        *terms,
+    ) -> OrderAnswer:
         self.starts.append((worker, task, run))
+        self.terms.append(terms)
         return OrderAnswer(self.start_outcome, self.now_ms)
 
     async def stop(self, worker: str, task: str, run: int) -> OrderAnswer:
@@ -779,6 +789,16 @@
             await self.send_orders(control, link)
             assert link.starts == [(link.worker, "j1.0.0.0", 1)]
 
+    async def test_order_names_what_it_was_checked_against(self):
+        async with Control() as control:
+            step = make_step(4, required_label="a")
+            _, link = await self.place(control, "j1", step=step)
+            link.grants = True
+            control.runs._send_orders()
+            self.report(control, link, Resources(128_000, 262_144, 2))
+            await control.wait(lambda: link.starts)
+            assert link.terms == [(self.CAPACITY, "a")]
+
     async def test_other_changes_of_the_capacity_do_not_matter(self):
         async with Control() as control:
             units, link = await self.place(control, "j1", "j2")
--- a/tests/test_workermonitor.py
+++ b/tests/test_workermonitor.py
@@ -128,7 +128,7 @@
         )
         return await self.monitor.watch(order)
 
-    async def start(self, epoch=1, expires_ms=5000) -> OrderOutcome:
+    async def start(self, epoch=1, expires_ms=5000, **fields) -> OrderOutcome:
         answer = await self.monitor.start(
             StartOrder(
                 pool="p",
@@ -138,6 +138,7 @@
                 run=1,
                 payload="",
                 expires_ms=expires_ms,
+                **fields,
             )
         )
         return answer.outcome
@@ -422,6 +423,27 @@
             assert await agent.start() is OrderOutcome.REFUSED
             assert not agent.worker.starts
 
+    @pytest.mark.parametrize(
+        ("change", "outcome"),
+        [
+            ({}, OrderOutcome.OK),
+            ({"accelerators": 16}, OrderOutcome.OK),
+            ({"labels": ("a", "r2")}, OrderOutcome.OK),
+            ({"accelerators": 7}, OrderOutcome.REFUSED),
+            ({"labels": ("b", "r1")}, OrderOutcome.REFUSED),
+        ],
+    )
+    async def test_checks_what_the_controller_counted_on(
+        self, change, outcome
+    ):
+        """An announcement may pass an order on its way to the agent."""
+        async with Agent() as agent:
+            agent.monitor.announce(announce())
+            agent.monitor.announce(announce(sequence=2, **change))
+            capacity = announce().capacity
+            assert await agent.start(capacity=capacity, label="a") is outcome
+            assert bool(agent.worker.starts) is (outcome is OrderOutcome.OK)
+
     async def test_refuses_an_expired_order(self):
         async with Agent() as agent:
             agent.monitor.announce(announce())
