Count an inferred end as an attempt until it is known

A gang's member whose worker is silent must have ended first if all others ended as broken, but it may have failed. After a change of the controller it was never counted, as it was not stored.

Change: an inferred end counts when the unit is to be placed again, but doesn't fail the job. It is settled once its worker lists it, a later poll lacks it, the worker has left or restarted, or the worker's leases have expired, which bounds the wait. It is the last field of a unit's row.

--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -24,6 +24,7 @@
     "JobStatus",
     "Member",
     "TaskName",
+    "UncertainEnd",
     "Unit",
     "compute_time_left_s",
     "format_task",
@@ -142,6 +143,18 @@
                 self.first_percent_at_s = now_s
 
 
+@dataclass(frozen=True, slots=True)
+class UncertainEnd:
+    """A member's end that was inferred, while its worker may still list it.
+
+    ``index`` is the member's task and ``since_s`` the time of the inference.
+    """
+
+    index: int
+    worker: str
+    since_s: float
+
+
 @dataclass(slots=True)
 class Unit:
     """Tasks that are placed together, and their present run, if any.
@@ -151,6 +164,8 @@
     start may be ordered before. ``failures`` counts the failed runs.
     ``failed_runs`` holds the numbers of those that failed in the present term,
     and ``given_up_runs`` the runs with a member whose end was not reported.
+    ``uncertain_ends`` maps those that may turn out to have failed to the end
+    that isn't known; they count as attempts until it is.
     ``stopping`` is the reason why the run is being stopped, empty if it is
     not; ``stalls`` counts the stops because the run made no progress.
     ``saved`` refers to the last checkpoint. ``placed_at_s`` is when the run
@@ -168,6 +183,7 @@
     failures: int = 0
     failed_runs: set[int] = field(default_factory=set)
     given_up_runs: set[int] = field(default_factory=set)
+    uncertain_ends: dict[int, UncertainEnd] = field(default_factory=dict)
     done: bool = False
     saved: str = ""
     members: list[Member] = field(default_factory=list)
@@ -207,7 +223,11 @@
 
     def task(self, member: Member) -> TaskName:
         """Return the name of a member's task."""
-        return TaskName(self.job_id, self.occurrence, self.step, member.index)
+        return self.name_task(member.index)
+
+    def name_task(self, index: int) -> TaskName:
+        """Return the name of the task with an index."""
+        return TaskName(self.job_id, self.occurrence, self.step, index)
 
     def place(self, workers: list[str], now_s: float) -> None:
         """Begin a new run on the given workers, one for each task."""
@@ -235,7 +255,7 @@
         if saved:
             self.saved = saved
         if ending is Ending.DONE:
-            self.done = True
+            self.mark_done()
             for other in self.open_members():
                 other.ending = Ending.DONE
         elif ending is Ending.FAILED and not self.done:
@@ -245,6 +265,33 @@
         if self.count > 1 and not self.done and self.running:
             self.stopping = self.stopping or f"member {ending}"
 
+    def infer_end(self, member: Member, now_s: float) -> None:
+        """End a member that must have ended; how isn't known yet."""
+        self.uncertain_ends[self.run] = UncertainEnd(
+            member.index, member.worker, now_s
+        )
+        self.end(member, Ending.LOST)
+
+    def mark_done(self) -> None:
+        """Record that the unit is done, however its earlier runs ended."""
+        self.done = True
+        self.uncertain_ends.clear()
+
+    def settle_end(self, run: int, index: int, worker: str) -> bool:
+        """Settle an inferred end that is known now; return if there was one.
+
+        Nothing changes unless it is the end of this task on this worker.
+        """
+        known = self.uncertain_ends.get(run)
+        if known is None or (known.index, known.worker) != (index, worker):
+            return False
+        del self.uncertain_ends[run]
+        return True
+
+    def may_be_exhausted(self, attempts: int) -> bool:
+        """Return whether all attempts may have failed already."""
+        return self.failures + len(self.uncertain_ends) >= attempts
+
     def count_failure(self, run: int) -> bool:
         """Count a failed run as an attempt, once; return whether it is new.
 
@@ -254,6 +301,7 @@
         if run in self.failed_runs:
             return False
         self.failed_runs.add(run)
+        self.uncertain_ends.pop(run, None)
         self.failures += 1
         return True
 
@@ -342,14 +390,21 @@
         """Return the units that may be placed now.
 
         They are not done or running, and the steps that theirs depends on are
-        done.
+        done. A unit whose attempts may all have failed waits until it is known
+        how they ended, unless its step lasts.
         """
         if self.final or self.cancelled:
             return
+        attempts = self.job.terms.attempts
         ready: dict[tuple[int, int], bool] = {}
         for (occurrence, number, _), unit in self.units.items():
             if unit.done or unit.running:
                 continue
+            if (
+                unit.may_be_exhausted(attempts)
+                and not self.job.steps[number].lasting
+            ):
+                continue
             key = (occurrence, number)
             if key not in ready:
                 ready[key] = all(
--- a/hickorywing/pooljobs.py
+++ b/hickorywing/pooljobs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 
 from hickorywing.clock import now_s
 from hickorywing.committer import Committer
@@ -10,13 +11,16 @@
 from hickorywing.metrics import Metrics
 from hickorywing.openmembers import OpenMember
 from hickorywing.openmembers import OpenMembers
+from hickorywing.policy.poolclaims import UnitKey
 from hickorywing.policy.poolhealth import WorkerHealth
 from hickorywing.policy.poolpreemption import count_core_equivalents
 from hickorywing.policy.poolruns import Ending
+from hickorywing.policy.poolruns import format_task
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.policy.poolruns import Member
 from hickorywing.policy.poolruns import parse_task
+from hickorywing.policy.poolruns import UncertainEnd
 from hickorywing.policy.poolruns import Unit
 from hickorywing.poolrows import cancel_key
 from hickorywing.poolrows import encode_status
@@ -63,6 +67,8 @@
         self._schedule_plan = schedule_plan
         self._log = log
         self._metrics = metrics
+        # The units that may have uncertain ends.
+        self._uncertain: dict[UnitKey, Unit] = {}
         self._cancels: set[str] = set()
         self._ended_s: dict[str, float] = {}
         self._unstored_checkpoints: set[str] = set()
@@ -90,6 +96,9 @@
         self.live[job.job_id] = state
         for unit in state.list_running_units():
             self.members.add(state, unit)
+        for unit in state.units.values():
+            if unit.uncertain_ends:
+                self._uncertain[unit.key] = unit
         if job.job_id in self._cancels:
             self._cancel(state)
         if not restored:
@@ -180,8 +189,12 @@
 
         ``saved`` is the checkpoint it left, if any.
         """
+        item.unit.end(item.member, ending, saved)
+        self._finish_end(item, ending)
+
+    def _finish_end(self, item: OpenMember, ending: Ending) -> None:
+        """Process the end of a member that its unit has recorded."""
         state, unit, member = item.state, item.unit, item.member
-        unit.end(member, ending, saved)
         self.members.drop_ended(unit)
         self._record_health(state, member, ending)
         self._log.write(
@@ -206,6 +219,33 @@
             unit.waiting_since_s = now_s()
         self._update_status(state)
 
+    def infer_end(self, item: OpenMember) -> None:
+        """End a member that must have ended although no report says so."""
+        item.unit.infer_end(item.member, now_s())
+        self._uncertain[item.unit.key] = item.unit
+        self._finish_end(item, Ending.LOST)
+
+    def list_uncertain_ends(self) -> Iterator[tuple[str, int, UncertainEnd]]:
+        """Return each task and run whose inferred end isn't known yet."""
+        for key, unit in list(self._uncertain.items()):
+            if not unit.uncertain_ends or unit.job_id not in self.live:
+                del self._uncertain[key]
+                continue
+            for run, end in list(unit.uncertain_ends.items()):
+                yield format_task(unit.name_task(end.index)), run, end
+
+    def settle_end(self, name: str, run: int, worker: str) -> None:
+        """Record that the inferred end of a run counts as no attempt.
+
+        Either it is known by now, or its worker will never list it.
+        """
+        task = parse_task(name)
+        state = None if task is None else self.live.get(task.job_id)
+        unit = None if state is None else state.find_unit(task)
+        if unit is not None and unit.settle_end(run, task.index, worker):
+            self.store(state)
+            self._schedule_plan()
+
     def find_job(self, name: str) -> JobState | None:
         """Return the state of the job that a task belongs to."""
         task = parse_task(name)
@@ -225,7 +265,7 @@
             return False
         if state.job.steps[unit.step].lasting:
             return False
-        unit.done = True
+        unit.mark_done()
         if unit.running:
             unit.stopping = unit.stopping or f"run {run} is done"
         self._update_status(state)
--- a/hickorywing/progressrows.py
+++ b/hickorywing/progressrows.py
@@ -24,6 +24,7 @@
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.policy.poolruns import Member
+from hickorywing.policy.poolruns import UncertainEnd
 from hickorywing.policy.poolruns import Unit
 from hickorywing.poolrows import decode_row
 from hickorywing.poolrows import progress_key
@@ -51,7 +52,9 @@
 
     ``members`` holds the task's index, the worker and the ending, which is
     empty while the member may be running. ``placed_at_s`` is by the store's
-    clock, which all controllers share and which never jumps.
+    clock, which all controllers share and which never jumps. Each of
+    ``uncertain_ends`` has the run, the task's index and the worker of an
+    inferred end that isn't known yet.
     """
 
     occurrence: Count
@@ -63,6 +66,7 @@
     saved: str
     members: list[tuple[Count, str, str]]
     placed_at_s: Number = 0.0
+    uncertain_ends: list[tuple[Count, Count, str]] = []
 
 
 class ProgressRow(msgspec.Struct, array_like=True):
@@ -214,6 +218,10 @@
                     for item in unit.members
                 ],
                 0.0 if unit.done else unit.placed_store_s,
+                [
+                    (run, end.index, end.worker)
+                    for run, end in unit.uncertain_ends.items()
+                ],
             )
 
 
@@ -309,7 +317,10 @@
                 members = [*known.members, *row.members]
                 done = known.done or row.done
                 units[key] = msgspec.structs.replace(
-                    known, members=[] if done else members, done=done
+                    known,
+                    members=[] if done else members,
+                    done=done,
+                    uncertain_ends=known.uncertain_ends or row.uncertain_ends,
                 )
     return units
 
@@ -331,6 +342,12 @@
         Member(index, worker, Ending(ending) if ending else None, tries=1)
         for index, worker, ending in row.members
     ]
+    # Only lists from now on show how these runs have ended.
+    unit.uncertain_ends = {
+        run: UncertainEnd(index, worker, now_s())
+        for run, index, worker in row.uncertain_ends
+    }
+    unit.given_up_runs = set(unit.uncertain_ends)
     if unit.running and any(item.ending for item in unit.members):
         unit.stopping = "another member has ended"
     if unit.running and len(unit.members) < unit.count:
--- a/hickorywing/runcontrol.py
+++ b/hickorywing/runcontrol.py
@@ -218,7 +218,19 @@
             elif (link is None or link.is_silent()) and must_have_ended(
                 item.unit, item.member
             ):
-                self.jobs.end_member(item, Ending.LOST)
+                self.jobs.infer_end(item)
+        self._settle_expired_ends(now)
+
+    def _settle_expired_ends(self, now: float) -> None:
+        """Settle the inferred ends that can't be acknowledged any more.
+
+        An end counts only if it is acknowledged before the worker's lease
+        expires, so nothing waits for a worker that never answers.
+        """
+        for task, run, end in self.jobs.list_uncertain_ends():
+            link = self._workers.get(end.worker)
+            if self._have_leases_expired(link, now):
+                self.jobs.settle_end(task, run, end.worker)
 
     def _has_lapsed(
         self, item: OpenMember, link: AgentLink | None, now: float
@@ -228,10 +240,14 @@
         The lease of an idle worker may have expired, but a member that is
         about to start there gets a new one with its first start order.
         """
+        if item.member.tries == 0 and link is not None and link.can_grant():
+            return False
+        return self._have_leases_expired(link, now)
+
+    def _have_leases_expired(self, link: AgentLink | None, now: float) -> bool:
+        """Return whether every lease of a worker has expired."""
         if link is None:
             return now > self._previous_leases_end_s
-        if item.member.tries == 0 and link.can_grant():
-            return False
         return now > link.lease_end_s + LEASE_SLACK_S or link.has_no_lease()
 
     def _find_hold_reason(self) -> str:
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -84,6 +84,7 @@
             self._handle_end(link, report, end)
         if self._known[report.worker].record_poll(report):
             self._compare_runs(link, report)
+            self._settle_unlisted_ends(report)
         if report.draining:
             self._move_runs(report)
         link.set_busy(self._is_busy(link))
@@ -116,12 +117,18 @@
         known = self._known.get(link.worker)
         if known is not None and known.ends:
             return True
+        if any(
+            end.worker == link.worker
+            for _, _, end in self._jobs.list_uncertain_ends()
+        ):
+            return True
         return bool(self._jobs.members.on_worker(link.worker))
 
     def _remove_worker(self, worker: str) -> None:
         """Remove a worker that has left, and end its members as lost."""
         self._log.write(LogEvent.WORKER_LEFT, worker=worker)
         self._drop_worker(worker)
+        self._settle_ends_of_earlier(get_vm(worker))
         for item in self._jobs.members.on_worker(worker):
             self._jobs.end_member(item, Ending.LOST)
 
@@ -148,6 +155,7 @@
             epoch=self._lease.epoch,
         )
         self._schedule_plan()
+        self._settle_ends_of_earlier(vm, report.worker)
         for worker in self._jobs.members.list_workers():
             if get_vm(worker) == vm and worker != report.worker:
                 for item in self._jobs.members.on_worker(worker):
@@ -183,7 +191,7 @@
 
         item = self._jobs.members.find(end.task, end.run, report.worker)
         if item is None:
-            self._handle_end_of_other_run(end, acknowledge)
+            self._handle_end_of_other_run(report.worker, end, acknowledge)
             return
         ending = self._parse_ending(end)
         if item.step.lasting and ending is Ending.DONE:
@@ -192,7 +200,7 @@
         self._jobs.store(item.state, acknowledge)
 
     def _handle_end_of_other_run(
-        self, end: EndedRun, acknowledge: Callable[[], None]
+        self, worker: str, end: EndedRun, acknowledge: Callable[[], None]
     ) -> None:
         """Handle the end of a run that is not open on its worker.
 
@@ -205,6 +213,7 @@
             adopted = self._jobs.mark_done(end.task, end.run)
         elif end.how == Ending.FAILED:
             adopted = self._jobs.count_late_failure(end.task, end.run)
+        self._jobs.settle_end(end.task, end.run, worker)
         self._log.write(
             LogEvent.END_OF_ANOTHER_RUN,
             task=end.task,
@@ -307,6 +316,34 @@
         self._metrics.count("runs_stalled")
         self._schedule_plan()
 
+    def _settle_ends_of_earlier(self, vm: str, present: str = "") -> None:
+        """Settle the inferred ends that only a worker that is gone has listed.
+
+        ``present`` is the incarnation on the VM now, if any.
+        """
+        for task, run, end in self._jobs.list_uncertain_ends():
+            if get_vm(end.worker) == vm and end.worker != present:
+                self._jobs.settle_end(task, run, end.worker)
+
+    def _settle_unlisted_ends(self, report: WorkerReport) -> None:
+        """Settle the inferred ends that a worker would list but doesn't.
+
+        A worker lists the ends that were not acknowledged, some at a time, so
+        an empty list shows that it has no others. A list from before the
+        inference shows nothing, as the run may have ended after it.
+        """
+        if report.ended:
+            return
+        listed = {(item.task, item.run) for item in report.running}
+        polled_ago_s = max(0, report.clock_ms - report.looked_ms) / 1000
+        for task, run, end in self._jobs.list_uncertain_ends():
+            if (
+                end.worker == report.worker
+                and (task, run) not in listed
+                and now_s() - polled_ago_s > end.since_s
+            ):
+                self._jobs.settle_end(task, run, end.worker)
+
     def _handle_absent_run(
         self, item: OpenMember, report: WorkerReport
     ) -> None:
--- a/tests/test_progressrows.py
+++ b/tests/test_progressrows.py
@@ -9,6 +9,7 @@
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
+from hickorywing.policy.poolruns import Unit
 from hickorywing.poolrows import progress_key
 from hickorywing.poolrows import RowUnreadable
 from hickorywing.progressrows import find_job_id
@@ -52,6 +53,14 @@
     )
 
 
+def get_uncertain(unit: Unit) -> set[tuple[int, int, str]]:
+    """Return the run, task and worker of each inferred end."""
+    return {
+        (run, end.index, end.worker)
+        for run, end in unit.uncertain_ends.items()
+    }
+
+
 class Stored:
     """A job whose changes are written, and what the store has of it."""
 
@@ -90,6 +99,7 @@
             assert (other.run, other.done, other.failures, other.saved) == (
                 (unit.run, unit.done, unit.failures, unit.saved)
             )
+            assert get_uncertain(other) == get_uncertain(unit)
             if not unit.done:
                 assert [
                     (item.index, item.worker, item.ending)
@@ -119,6 +129,49 @@
         unit = state.units[(0, 0, 1)]
         assert (unit.run, unit.failures, unit.saved) == (2, 1, "s")
         assert unit.members[0].worker == "w2"
+        assert unit.uncertain_ends == {}
+
+
+class TestInferredEnds:
+    """An inferred end is stored until it is known or the unit is done."""
+
+    @pytest.mark.parametrize("count", [2, 5_000])
+    def test_gang_of_any_size(self, count):
+        step = make_step(1, count=count, gang=True)
+        stored = Stored(make_job(steps=(step,), attempts=4))
+        unit = stored.state.units[(0, 0, 0)]
+        for _ in range(2):
+            place(stored.state)
+            for member in unit.members[:-1]:
+                unit.end(member, Ending.BROKEN)
+            unit.infer_end(unit.members[-1], 0.0)
+            stored.store()
+            stored.check()
+        found = stored.restore().units[(0, 0, 0)]
+        assert found.given_up_runs == {1, 2}
+        assert unit.count_failure(1)
+        stored.store()
+        stored.check()
+        place(stored.state)
+        unit.end(unit.members[0], Ending.DONE)
+        stored.store()
+        stored.check()
+        assert unit.uncertain_ends == {}
+
+    def test_only_one_of_a_gang_s_rows_was_written(self):
+        step = make_step(1, count=5_000, gang=True)
+        stored = Stored(make_job(steps=(step,)))
+        place(stored.state)
+        stored.store()
+        unit = stored.state.units[(0, 0, 0)]
+        for member in unit.members[:-1]:
+            unit.end(member, Ending.BROKEN)
+        unit.infer_end(unit.members[-1], 0.0)
+        changes = stored.progress.encode_changes(0.0, ROW_BYTES)
+        last = [key for key in changes if key != MAIN][-1]
+        stored.write({last: changes[last]})
+        found = stored.restore().units[(0, 0, 0)]
+        assert get_uncertain(found) == get_uncertain(unit)
 
 
 class TestLargeJobs:
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -68,6 +68,7 @@
         self.stops: list[tuple[str, str, int]] = []
         self.grants = True
         self.silent = False
+        self.busy = False
         self.outcome = OrderOutcome.OK
         self.start_outcome = OrderOutcome.OK
         self.now_ms = 0
@@ -76,7 +77,7 @@
         self.acknowledged = number
 
     def set_busy(self, busy: bool) -> None:
-        pass
+        self.busy = busy
 
     def clock_ms(self) -> int:
         return self.now_ms
@@ -477,14 +478,15 @@
     wait.
     """
 
-    def place_gang(self, control: Control) -> Unit:
+    def place_gang(self, control: Control, **fields) -> Unit:
         for worker in ("v0/i@1", "v1/i@1", "v2/i@1"):
             link = FakeLink(worker)
             link.now_ms = 100
             control.runs.reports.handle_report(
                 link, WorkerReport(worker=worker)
             )
-        state = control.accept("j1", (make_step(8, count=3, gang=True),))
+        step = make_step(8, count=3, gang=True, **fields)
+        state = control.accept("j1", (step,))
         unit = state.units[(0, 0, 0)]
         control.runs.jobs.place(unit, ["v0/i@1", "v1/i@1", "v2/i@1"])
         for member in unit.members:
@@ -565,6 +567,123 @@
             control.runs.reports.handle_report(link, report)
             assert unit.failures == 1
 
+    async def fail_after_inferred_end(
+        self, control: Control
+    ) -> tuple[JobState, Unit]:
+        """Infer the end of the first of two attempts, and fail the second."""
+        unit = self.place_gang(control)
+        self.silence(control, 2)
+        self.end(control, 0, Ending.BROKEN)
+        self.end(control, 1, Ending.BROKEN)
+        control.runs.tick(0.0)
+        state = control.runs.jobs.accepted["j1"]
+        assert list(state.list_ready_units()) == [unit]
+        control.runs.jobs.place(unit, ["v0/i@1", "v1/i@1", "v1/i@1"])
+        for index, how in enumerate(("failed", "broken", "broken")):
+            self.end(control, index, Ending(how))
+        control.runs.tick(0.0)
+        assert list(state.list_ready_units()) == []
+        assert state.status is JobStatus.ACTIVE
+        return state, unit
+
+    def report(
+        self, control: Control, looked_ms: int, *ends: EndedRun
+    ) -> FakeLink:
+        """Report of the worker whose member's end was inferred."""
+        link = control.runs._workers["v2/i@1"]
+        control.runs.reports.handle_report(
+            link,
+            WorkerReport(
+                worker=link.worker,
+                clock_ms=10_000,
+                looked_ms=looked_ms,
+                ended=ends,
+            ),
+        )
+        return link
+
+    async def test_all_attempts_have_failed_once_it_is_listed(self):
+        async with Control() as control:
+            state, _ = await self.fail_after_inferred_end(control)
+            end = EndedRun(1, "j1.0.0.2", 1, "failed")
+            self.report(control, 10_000, end)
+            assert state.status is JobStatus.FAILED
+
+    async def test_another_attempt_follows_if_it_did_not_fail(self):
+        async with Control() as control:
+            state, unit = await self.fail_after_inferred_end(control)
+            for index, how in ((1, "broken"), (2, "stopped")):
+                assert list(state.list_ready_units()) == []
+                end = EndedRun(index, f"j1.0.0.{index}", 1, how)
+                self.report(control, 10_000 + index, end)
+            assert list(state.list_ready_units()) == [unit]
+
+    async def test_is_not_waited_for_if_its_worker_has_left(self):
+        async with Control() as control:
+            state, unit = await self.fail_after_inferred_end(control)
+            link = control.runs._workers["v2/i@1"]
+            report = WorkerReport(left=link.worker)
+            control.runs.reports.handle_report(link, report)
+            assert list(state.list_ready_units()) == [unit]
+
+    async def test_is_not_waited_for_if_its_worker_has_restarted(self):
+        async with Control() as control:
+            state, unit = await self.fail_after_inferred_end(control)
+            link = FakeLink("v2/i@2")
+            report = WorkerReport(worker=link.worker)
+            control.runs.reports.handle_report(link, report)
+            assert list(state.list_ready_units()) == [unit]
+
+    async def test_is_not_waited_for_once_its_leases_have_expired(self):
+        async with Control() as control:
+            state, unit = await self.fail_after_inferred_end(control)
+            link = control.runs._workers["v2/i@1"]
+            link.lease_end_s = now_s()
+            control.runs.tick(0.0)
+            assert list(state.list_ready_units()) == []
+            link.lease_end_s = now_s() - 0.6
+            control.runs.tick(0.0)
+            assert list(state.list_ready_units()) == [unit]
+
+    async def test_is_not_waited_for_if_a_later_list_lacks_it(self):
+        async with Control() as control:
+            state, unit = await self.fail_after_inferred_end(control)
+            # The worker was polled a second before the member's end.
+            link = self.report(control, 9_000)
+            assert list(state.list_ready_units()) == []
+            assert link.busy
+            self.report(control, 10_000)
+            assert list(state.list_ready_units()) == [unit]
+
+    async def test_a_successor_counts_it_as_an_attempt(self):
+        async with Control() as control:
+            state, _ = await self.fail_after_inferred_end(control)
+            rows = encode_progress(state, 7.0)
+        async with Control() as successor:
+            restored = JobState(state.job, 1, 0.0)
+            restore_progress(restored, rows, 7.0)
+            successor.runs.jobs.add(restored, restored=True, rows=rows)
+            link = FakeLink("v2/i@1")
+            report = WorkerReport(worker=link.worker)
+            successor.runs.reports.handle_report(link, report)
+            successor.runs.tick(0.0)
+            assert list(restored.list_ready_units()) == []
+            end = EndedRun(1, "j1.0.0.2", 1, "failed")
+            self.report(successor, 10_000, end)
+            assert restored.status is JobStatus.FAILED
+
+    async def test_a_lasting_gang_does_not_wait_for_it(self):
+        async with Control() as control:
+            unit = self.place_gang(control, lasting=True)
+            for run in range(1, 4):
+                unit.run = run
+                unit.infer_end(unit.members[2], now_s())
+                unit.members[2].ending = None
+            for member in unit.members:
+                member.ending = Ending.LOST
+            state = control.runs.jobs.accepted["j1"]
+            assert list(state.list_ready_units()) == [unit]
+
     async def test_two_that_fail_in_one_run_are_one_attempt(self):
         async with Control() as control:
             unit = self.place_gang(control)
