--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -17,6 +17,7 @@
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
 from hickorywing.orders import WorkerReport
+from hickorywing.policy.poolmodel import Resources
 from hickorywing.policy.poolmodel import Step
 from hickorywing.policy.poolprogress import WorkerTerms
 from hickorywing.policy.poolruns import Ending
@@ -65,17 +66,20 @@
         self.lease_end_s = float("inf")
         self.zone = "z"
         self.starts: list[tuple[str, str, int]] = []
+        self.terms: list[tuple[Resources | None, str]] = []
         self.stops: list[tuple[str, str, int]] = []
         self.grants = True
         self.silent = False
+        self.busy = False
         self.outcome = OrderOutcome.OK
+        self.start_outcome = OrderOutcome.OK
         self.now_ms = 0
 
     def acknowledge_ends(self, number: int) -> None:
         self.acknowledged = number
 
     def set_busy(self, busy: bool) -> None:
-        pass
+        self.busy = busy
 
     def clock_ms(self) -> int:
         return self.now_ms
@@ -89,9 +93,18 @@
     def is_silent(self) -> bool:
         return self.silent
 
-    async def start(self, worker: str, task: str, run: int, *_) -> OrderAnswer:
+    async def start(
+        self,
+        worker: str,
+        task: str,
+        run: int,
+        payload: str,
+        saved: str,
+        *terms,
+    ) -> OrderAnswer:
         self.starts.append((worker, task, run))
-        return OrderAnswer(self.outcome, self.now_ms)
+        self.terms.append(terms)
+        return OrderAnswer(self.start_outcome, self.now_ms)
 
     async def stop(self, worker: str, task: str, run: int) -> OrderAnswer:
         self.stops.append((worker, task, run))
@@ -538,14 +551,15 @@
     wait.
     """
 
-    def place_gang(self, control: Control) -> Unit:
+    def place_gang(self, control: Control, **fields) -> Unit:
         for worker in ("v0/i@1", "v1/i@1", "v2/i@1"):
             link = FakeLink(worker)
             link.now_ms = 100
             control.runs.reports.handle_report(
                 link, WorkerReport(worker=worker)
             )
-        state = control.accept("j1", (make_step(8, count=3, gang=True),))
+        step = make_step(8, count=3, gang=True, **fields)
+        state = control.accept("j1", (step,))
         unit = state.units[(0, 0, 0)]
         control.runs.jobs.place(unit, ["v0/i@1", "v1/i@1", "v2/i@1"])
         for member in unit.members:
@@ -626,6 +640,123 @@
             control.runs.reports.handle_report(link, report)
             assert unit.failures == 1
 
+    async def fail_after_inferred_end(
+        self, control: Control
+    ) -> tuple[JobState, Unit]:
+        """Infer the end of the first of two attempts, and fail the second."""
+        unit = self.place_gang(control)
+        self.silence(control, 2)
+        self.end(control, 0, Ending.BROKEN)
+        self.end(control, 1, Ending.BROKEN)
+        control.runs.tick(0.0)
+        state = control.runs.jobs.accepted["j1"]
+        assert list(state.list_ready_units()) == [unit]
+        control.runs.jobs.place(unit, ["v0/i@1", "v1/i@1", "v1/i@1"])
+        for index, how in enumerate(("failed", "broken", "broken")):
+            self.end(control, index, Ending(how))
+        control.runs.tick(0.0)
+        assert list(state.list_ready_units()) == []
+        assert state.status is JobStatus.ACTIVE
+        return state, unit
+
+    def report(
+        self, control: Control, looked_ms: int, *ends: EndedRun
+    ) -> FakeLink:
+        """Report of the worker whose member's end was inferred."""
+        link = control.runs._workers["v2/i@1"]
+        control.runs.reports.handle_report(
+            link,
+            WorkerReport(
+                worker=link.worker,
+                clock_ms=10_000,
+                looked_ms=looked_ms,
+                ended=ends,
+            ),
+        )
+        return link
+
+    async def test_all_attempts_have_failed_once_it_is_listed(self):
+        async with Control() as control:
+            state, _ = await self.fail_after_inferred_end(control)
+            end = EndedRun(1, "j1.0.0.2", 1, "failed")
+            self.report(control, 10_000, end)
+            assert state.status is JobStatus.FAILED
+
+    async def test_another_attempt_follows_if_it_did_not_fail(self):
+        async with Control() as control:
+            state, unit = await self.fail_after_inferred_end(control)
+            for index, how in ((1, "broken"), (2, "stopped")):
+                assert list(state.list_ready_units()) == []
+                end = EndedRun(index, f"j1.0.0.{index}", 1, how)
+                self.report(control, 10_000 + index, end)
+            assert list(state.list_ready_units()) == [unit]
+
+    async def test_is_not_waited_for_if_its_worker_has_left(self):
+        async with Control() as control:
+            state, unit = await self.fail_after_inferred_end(control)
+            link = control.runs._workers["v2/i@1"]
+            report = WorkerReport(left=link.worker)
+            control.runs.reports.handle_report(link, report)
+            assert list(state.list_ready_units()) == [unit]
+
+    async def test_is_not_waited_for_if_its_worker_has_restarted(self):
+        async with Control() as control:
+            state, unit = await self.fail_after_inferred_end(control)
+            link = FakeLink("v2/i@2")
+            report = WorkerReport(worker=link.worker)
+            control.runs.reports.handle_report(link, report)
+            assert list(state.list_ready_units()) == [unit]
+
+    async def test_is_not_waited_for_once_its_leases_have_expired(self):
+        async with Control() as control:
+            state, unit = await self.fail_after_inferred_end(control)
+            link = control.runs._workers["v2/i@1"]
+            link.lease_end_s = now_s()
+            control.runs.tick(0.0)
+            assert list(state.list_ready_units()) == []
+            link.lease_end_s = now_s() - 0.6
+            control.runs.tick(0.0)
+            assert list(state.list_ready_units()) == [unit]
+
+    async def test_is_not_waited_for_if_a_later_list_lacks_it(self):
+        async with Control() as control:
+            state, unit = await self.fail_after_inferred_end(control)
+            # The worker was polled a second before the member's end.
+            link = self.report(control, 9_000)
+            assert list(state.list_ready_units()) == []
+            assert link.busy
+            self.report(control, 10_000)
+            assert list(state.list_ready_units()) == [unit]
+
+    async def test_a_successor_counts_it_as_an_attempt(self):
+        async with Control() as control:
+            state, _ = await self.fail_after_inferred_end(control)
+            rows = encode_progress(state, 7.0)
+        async with Control() as successor:
+            restored = JobState(state.job, 1, 0.0)
+            restore_progress(restored, rows, 7.0)
+            successor.runs.jobs.add(restored, restored=True, rows=rows)
+            link = FakeLink("v2/i@1")
+            report = WorkerReport(worker=link.worker)
+            successor.runs.reports.handle_report(link, report)
+            successor.runs.tick(0.0)
+            assert list(restored.list_ready_units()) == []
+            end = EndedRun(1, "j1.0.0.2", 1, "failed")
+            self.report(successor, 10_000, end)
+            assert restored.status is JobStatus.FAILED
+
+    async def test_a_lasting_gang_does_not_wait_for_it(self):
+        async with Control() as control:
+            unit = self.place_gang(control, lasting=True)
+            for run in range(1, 4):
+                unit.run = run
+                unit.infer_end(unit.members[2], now_s())
+                unit.members[2].ending = None
+            for member in unit.members:
+                member.ending = Ending.LOST
+            state = control.runs.jobs.accepted["j1"]
+            assert list(state.list_ready_units()) == [unit]
+
     async def test_two_that_fail_in_one_run_are_one_attempt(self):
         async with Control() as control:
             unit = self.place_gang(control)
@@ -687,7 +818,7 @@
     async def order(self, control: Control, stopping: str) -> FakeLink:
         link = FakeLink("vm/i@1")
         link.now_ms = 100
-        link.outcome = OrderOutcome.OLD_EPOCH
+        link.outcome = link.start_outcome = OrderOutcome.OLD_EPOCH
         control.lease.renewed_s = now_s()
         control.runs.reports.handle_report(
             link, WorkerReport(worker=link.worker)
@@ -771,6 +902,144 @@
             await control.wait(lambda: link.starts)
 
 
+class TestChangedWorkers:
+    """A start is sent only if its worker still has the room and the label.
+
+    A worker's capacity may shrink and grow again while it runs. Guards against
+    a start that was planned for the capacity from before, and waited for a
+    silent worker or was stored by an earlier controller.
+    """
+
+    CAPACITY = Resources(128_000, 262_144, 8)
+
+    async def place(
+        self, control: Control, *jobs: str, step: Step | None = None
+    ) -> tuple[list[Unit], FakeLink]:
+        """Place jobs on a worker that can't be granted a lease yet."""
+        link = FakeLink("vm/i@1")
+        link.now_ms = 100
+        link.grants = False
+        self.report(control, link, self.CAPACITY)
+        units = []
+        for job in jobs:
+            state = control.accept(job, (step or make_step(4),))
+            unit = state.units[(0, 0, 0)]
+            control.runs.jobs.place(unit, [link.worker])
+            unit.committed = True
+            units.append(unit)
+        return units, link
+
+    def report(
+        self,
+        control: Control,
+        link: FakeLink,
+        capacity: Resources,
+        labels: tuple[str, ...] = ("a", "r1"),
+    ) -> None:
+        link.report = WorkerReport(
+            worker=link.worker,
+            zone=link.zone,
+            capacity=capacity,
+            labels=labels,
+            clock_ms=link.now_ms,
+        )
+        control.runs.reports.handle_report(link, link.report)
+
+    async def send_orders(self, control: Control, link: FakeLink) -> None:
+        link.grants = True
+        control.runs.schedule_plan()
+        await asyncio.sleep(0.05)
+
+    async def test_start_that_fits_no_more_is_not_sent(self):
+        async with Control() as control:
+            (unit,), link = await self.place(control, "j1")
+            self.report(control, link, Resources(128_000, 262_144, 2))
+            await self.send_orders(control, link)
+            assert link.starts == []
+            assert link.stops == [(link.worker, "j1.0.0.0", 1)]
+            assert unit.stopping == "its worker has less room"
+
+    async def test_only_starts_that_fit_are_sent(self):
+        async with Control() as control:
+            (_, second), link = await self.place(control, "j1", "j2")
+            self.report(control, link, Resources(128_000, 262_144, 4))
+            await self.send_orders(control, link)
+            assert link.starts == [(link.worker, "j1.0.0.0", 1)]
+            assert second.stopping
+
+    async def test_what_is_being_stopped_counts(self):
+        async with Control() as control:
+            (first, second), link = await self.place(control, "j1", "j2")
+            first.members[0].seen = True
+            first.stopping = "gives way"
+            link.outcome = OrderOutcome.UNKNOWN
+            self.report(control, link, Resources(128_000, 262_144, 4))
+            await self.send_orders(control, link)
+            assert link.starts == []
+            assert second.stopping
+
+    async def test_start_without_an_answer_is_not_repeated(self):
+        async with Control() as control:
+            (unit,), link = await self.place(control, "j1")
+            link.start_outcome = OrderOutcome.UNKNOWN
+            await self.send_orders(control, link)
+            assert len(link.starts) == 1
+            self.report(control, link, Resources(128_000, 262_144, 2))
+            await control.wait(lambda: link.stops)
+            assert len(link.starts) == 1
+            assert unit.stopping
+
+    async def test_start_that_an_earlier_controller_stored(self):
+        async with Control() as control:
+            state = JobState(make_job("j1", (make_step(4),)), 1, 0.0)
+            unit = state.units[(0, 0, 0)]
+            unit.place(["vm/i@1"], now_s())
+            unit.committed = True
+            control.runs.jobs.add(state, restored=True)
+            _, link = await self.place(control)
+            self.report(control, link, Resources(128_000, 262_144, 2))
+            await self.send_orders(control, link)
+            assert link.starts == []
+            assert unit.stopping
+
+    async def test_required_label_is_gone(self):
+        async with Control() as control:
+            step = make_step(4, required_label="a")
+            (unit,), link = await self.place(control, "j1", step=step)
+            self.report(control, link, self.CAPACITY, labels=("b", "r1"))
+            await self.send_orders(control, link)
+            assert link.starts == []
+            assert unit.stopping == "its worker has lost a label"
+
+    async def test_other_label_has_changed(self):
+        async with Control() as control:
+            step = make_step(4, required_label="a")
+            _, link = await self.place(control, "j1", step=step)
+            self.report(control, link, self.CAPACITY, labels=("a", "r2"))
+            await self.send_orders(control, link)
+            assert link.starts == [(link.worker, "j1.0.0.0", 1)]
+
+    async def test_order_names_what_it_was_checked_against(self):
+        async with Control() as control:
+            step = make_step(4, required_label="a")
+            _, link = await self.place(control, "j1", step=step)
+            link.grants = True
+            control.runs._send_orders()
+            self.report(control, link, Resources(128_000, 262_144, 2))
+            await control.wait(lambda: link.starts)
+            assert link.terms == [(self.CAPACITY, "a")]
+
+    async def test_other_changes_of_the_capacity_do_not_matter(self):
+        async with Control() as control:
+            units, link = await self.place(control, "j1", "j2")
+            units[0].members[0].seen = True
+            self.report(control, link, Resources(2_000, 2_000, 8))
+            self.report(control, link, Resources(256_000, 262_144, 16))
+            await self.send_orders(control, link)
+            assert link.starts == [(link.worker, "j2.0.0.0", 1)]
+            assert not any(unit.stopping for unit in units)
+
+
 class TestStatusRows:
     """A status row is written only if the status has changed.
 
