Let the worker's process end in the test of the lines of its departure

An announced departure alone doesn't end a worker any more, so the line 'worker left' comes once its process is gone; the test checks both lines now, and a new one those of an announcement that the worker's answer refutes. Orders of the tests with a changed room are sent after the worker has answered.

--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -12,6 +12,7 @@
 from test_runcontrol import Control
 from test_runcontrol import FakeLink
 from test_workermonitor import Agent
+from test_workermonitor import announce
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
@@ -28,6 +29,8 @@
 from hickorywing.standins.rowstore import StoreFault
 
 WORKER = "vm/i-1@1"
+# The worker of an ``Agent``.
+WORKER_KEY = "a1/i-1@100"
 JOB = "00000000000000b"
 ROOT = Path(__file__).parent.parent
 
@@ -354,10 +357,25 @@
             while (await agent.ask()).silent:
                 pass
             agent.monitor.leave("i-1")
+            agent.worker.gone = True
+            await agent.wait_for(lambda report: report.left == WORKER_KEY)
         assert "reason" in recorded.find(LogEvent.WORKER_SILENT)
         assert recorded.find(LogEvent.START_REFUSED)["run"] == 1
         assert "worker" in recorded.find(LogEvent.WORKER_ANSWERS)
-        assert "worker" in recorded.find(LogEvent.WORKER_LEFT)
+        assert "worker" in recorded.find(LogEvent.DEPARTURE_ANNOUNCED)
+        assert "reason" in recorded.find(LogEvent.WORKER_LEFT)
+
+    async def test_announcement_of_a_worker_that_does_not_answer(self):
+        recorded = RecordedLog()
+        async with Agent(recorded) as agent:
+            agent.monitor.announce(announce())
+            await agent.ask()
+            agent.monitor.announce(announce(born_ms=200))
+            await asyncio.sleep(0.2)
+        assert recorded.find(LogEvent.WORKER_CONFIRMED)["replaces"] == ""
+        refuted = recorded.find(LogEvent.ANNOUNCEMENT_REFUTED)
+        assert refuted["worker"] == "a1/i-1@200"
+        assert refuted["present"] == WORKER_KEY
 
     async def test_feed_that_lost_its_history(self):
         recorded = RecordedLog()
--- a/tests/test_workermonitor.py
+++ b/tests/test_workermonitor.py
@@ -549,6 +549,7 @@
         """An announcement may pass an order on its way to the agent."""
         async with Agent() as agent:
             agent.monitor.announce(announce())
+            await agent.ask()
             agent.monitor.announce(announce(sequence=2, **change))
             capacity = announce().capacity
             assert await agent.start(capacity=capacity, label="a") is outcome
