Report which incarnations of a worker crashed

A controller can't tell a worker that crashed from one that left as planned: reports name only the last incarnation that has ended.

An agent now reports the last four that ended without notice while it watched them. One that said that it leaves or drains, one that is silent or cut off, and one that was lost with its agent are not among them. Several are kept, as a controller that takes the role may have missed more than one. The field is the report's last one with a default: earlier controllers ignore it, and from earlier agents nothing is counted.

The new TestCrashes of test_workermonitor passes; before, the report has no such field. No call is added.

--- a/hickorywing/incarnations.py
+++ b/hickorywing/incarnations.py
@@ -6,6 +6,7 @@
 its process is gone.
 """
 
+from collections import deque
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -25,6 +26,8 @@
 # A worker that announces its departure ends at once. If it still answers after
 # this time, somebody else has announced it.
 MAX_DEPARTURE_S = 2.0
+# A controller may miss some crashes while the role passes to it.
+MAX_CRASHED = 4
 
 
 @dataclass(slots=True)
@@ -64,7 +67,8 @@
 
     ``followed`` is ``None`` while no worker is known, and ``last_ended`` the
     key of the last one that has ended. ``on_change`` is called when one ends,
-    and when it begins or ceases to drain.
+    and when it begins or ceases to drain. ``crashed`` has the keys of the last
+    ones that ended without notice.
     """
 
     def __init__(
@@ -72,6 +76,7 @@
     ) -> None:
         self.followed: Incarnation | None = None
         self.last_ended = ""
+        self.crashed: deque[str] = deque(maxlen=MAX_CRASHED)
         self._agent_name = agent_name
         self._log = log
         self._on_change = on_change
@@ -219,6 +224,8 @@
                 LogEvent.WORKER_LEFT, worker=followed.key, reason=reason
             )
             self.last_ended = followed.key
+            if not (self.is_leaving or followed.announcement.draining):
+                self.crashed.append(followed.key)
         else:
             self._log_refuted(followed.announcement, reason)
         self.followed = None
@@ -268,6 +275,8 @@
         if self.last_ended == followed.key:
             # It was given up as its process didn't listen for a moment.
             self.last_ended = ""
+            if followed.key in self.crashed:
+                self.crashed.remove(followed.key)
         self._log.write(
             LogEvent.WORKER_CONFIRMED,
             worker=followed.key,
--- a/hickorywing/orders.py
+++ b/hickorywing/orders.py
@@ -141,7 +141,9 @@
     worker's clock at the last poll, to which ``running`` and ``ended`` belong.
     ``silent`` says that the worker did not answer the last poll; meanwhile the
     agent forwards neither leases nor starts. ``granted_ms`` is the end of the
-    longest lease that this process of the agent has forwarded.
+    longest lease that this process of the agent has forwarded. ``crashed`` are
+    the last incarnations that ended without notice while this process watched
+    them; reports of earlier builds lack it.
     """
 
     number: int = 0
@@ -160,3 +162,4 @@
     granted_ms: int = 0
     running: tuple[RunningRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
+    crashed: tuple[str, ...] = ()
--- a/hickorywing/workermonitor.py
+++ b/hickorywing/workermonitor.py
@@ -314,6 +314,7 @@
                 self.epoch,
                 left=self._incarnations.last_ended,
                 silent=self._silent,
+                crashed=tuple(self._incarnations.crashed),
             )
         announcement = followed.announcement
         return WorkerReport(
@@ -333,6 +334,7 @@
             granted_ms=followed.granted_ms,
             running=followed.poll.running,
             ended=self._find_unacknowledged(),
+            crashed=tuple(self._incarnations.crashed),
         )
 
     async def start(self, order: StartOrder) -> OrderAnswer:
--- a/tests/test_workermonitor.py
+++ b/tests/test_workermonitor.py
@@ -7,6 +7,7 @@
 
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
+from hickorywing.incarnations import MAX_CRASHED
 from hickorywing.metrics import Metrics
 from hickorywing.orders import OrderAnswer
 from hickorywing.orders import OrderOutcome
@@ -337,6 +338,62 @@
             assert now_s() - began_s < 2 * self.NOTICE_S
 
 
+class TestCrashes:
+    """Incarnations that end without notice are reported as crashed."""
+
+    async def follow(self, agent: Agent, draining: bool = False) -> None:
+        agent.monitor.announce(announce(draining=draining))
+        await agent.ask(busy=True)
+        await agent.ask(busy=True, wait_s=0.1)
+
+    async def find_crashed(self, agent: Agent) -> tuple[str, ...]:
+        """Return what is reported as crashed once the worker has ended."""
+        report = await agent.ask(busy=True)
+        async with asyncio.timeout(3):
+            while not report.left:
+                report = await agent.ask(busy=True)
+        return report.crashed
+
+    async def test_process_is_gone(self):
+        async with Agent() as agent:
+            await self.follow(agent)
+            agent.worker.gone = True
+            assert await self.find_crashed(agent) == ("a1/i-1@100",)
+
+    async def test_restart(self):
+        async with Agent() as agent:
+            await self.follow(agent)
+            agent.worker.born_ms = 200
+            agent.monitor.announce(announce(born_ms=200))
+            assert await self.find_crashed(agent) == ("a1/i-1@100",)
+
+    async def test_departure(self):
+        async with Agent() as agent:
+            await self.follow(agent)
+            agent.monitor.leave("i-1")
+            agent.worker.gone = True
+            assert await self.find_crashed(agent) == ()
+
+    async def test_draining_worker(self):
+        async with Agent() as agent:
+            await self.follow(agent, draining=True)
+            agent.worker.gone = True
+            assert await self.find_crashed(agent) == ()
+
+    async def test_number_is_bounded(self):
+        async with Agent() as agent:
+            await self.follow(agent)
+            for born_ms in range(200, 200 + 2 * MAX_CRASHED):
+                agent.worker.born_ms = born_ms
+                agent.monitor.announce(announce(born_ms=born_ms))
+                report = await agent.ask(busy=True)
+                async with asyncio.timeout(3):
+                    while report.worker != f"a1/i-1@{born_ms}":
+                        report = await agent.ask(busy=True)
+            assert len(report.crashed) == MAX_CRASHED
+            assert report.crashed[-1] == f"a1/i-1@{born_ms - 1}"
+
+
 class TestEpochs:
     """A new controller's epoch reaches a busy worker at once."""
 
