Give up a task that crashes the workers that start it

Cause: only runs that a worker lists as failed count as attempts. A run that ends with its worker counts as nothing, so nothing bounded the starts of such a task.

Change: each crash is recorded for every task that had been ordered to start there, in the unit's progress row, so it outlives a hand-over and a restart of all entries. A crash doesn't show which task caused it: blamed tasks are kept apart from each other, and after two crashes a task gets a worker of its own until it has survived its start. The job fails once three workers have crashed under a task, the last while it was alone, and at the fifth crash in any case, so there are at most two starts after the third.

Earlier builds ignore the row's new last field, and read rows without it (test_progressrows).

--- a/hickorywing/policy/poolplanner.py
+++ b/hickorywing/policy/poolplanner.py
@@ -12,6 +12,8 @@
 from collections.abc import Iterable
 
 from hickorywing.policy.headroom import fits_outside_headroom
+from hickorywing.policy.isolation import get_caution
+from hickorywing.policy.isolation import Isolation
 from hickorywing.policy.poolclaims import Claim
 from hickorywing.policy.poolclaims import ClaimLossReason
 from hickorywing.policy.poolclaims import find_loss_reason
@@ -89,6 +91,7 @@
         self._releases = index_releases(state.running)
         self._victims = index_victims(state.running)
         self._task_counts = count_tasks_by_worker(state.running)
+        self._isolation = Isolation(state.running, state.now_s)
 
     def make_plan(self) -> Plan:
         """Return the units to start and to stop, and the claims to keep.
@@ -204,7 +207,13 @@
             self._plan_claimant(waiting)
             return
         waits_for_rack = self._state.now_s - unit.waiting_since_s < RACK_WAIT_S
-        placement_key = (unit.step_key, unit.failures > 0, waits_for_rack)
+        placement_key = (
+            unit.step_key,
+            unit.failures > 0,
+            waits_for_rack,
+            get_caution(unit),
+            len(self._list_isolation(waiting)),
+        )
         if placement_key in self._unplaceable:
             return
         if not self._start_or_claim(waiting):
@@ -329,6 +338,7 @@
         self._task_counts.setdefault(waiting.unit.step_key, Counter()).update(
             workers
         )
+        self._isolation.occupy(waiting.unit, workers)
 
     def _place(
         self,
@@ -381,8 +391,25 @@
         Later sets exclude fewer workers and are used if the unit does not fit
         otherwise.
         """
+        choices: list[frozenset[str]] = []
+        for isolation in self._list_isolation(waiting):
+            choices += self._list_exclusions_beside(waiting, isolation)
+        return list(dict.fromkeys(choices))
+
+    def _list_isolation(self, waiting: WaitingUnit) -> list[frozenset[str]]:
+        """Return the workers to exclude because of crashes, as sets.
+
+        The room of a task that lasts counts however full the pool is.
+        """
+        is_busy = self._budget.is_busy and not waiting.step.lasting
+        return self._isolation.list_excluded(waiting.unit, is_busy)
+
+    def _list_exclusions_beside(
+        self, waiting: WaitingUnit, isolation: frozenset[str]
+    ) -> list[frozenset[str]]:
+        """Return the sets of workers to exclude, each with ``isolation``."""
         state = self._state
-        avoided = self._find_excluded(waiting)
+        avoided = self._find_excluded(waiting, isolation)
         choices = [avoided | state.suspects, avoided]
         if waiting.unit.failures and state.workers.keys() - choices[0]:
             # A failed unit has fewer attempts left, so it prefers workers
@@ -392,7 +419,7 @@
         if waiting.priority <= URGENT_PRIORITY:
             # A gang runs at the pace of its slowest member.
             choices = [choices[0] | state.slow, *choices]
-        return list(dict.fromkeys(choices))
+        return choices
 
     def _reserve(self, waiting: WaitingUnit) -> tuple[str, ...] | None:
         """Return workers to reserve for a large unit, or ``None``.
@@ -436,13 +463,19 @@
         """Count the tasks of the unit's step on each worker."""
         return self._task_counts.get(waiting.unit.step_key, Counter())
 
-    def _find_excluded(self, waiting: WaitingUnit) -> frozenset[str]:
+    def _find_excluded(
+        self, waiting: WaitingUnit, isolation: frozenset[str] | None = None
+    ) -> frozenset[str]:
         """Return the workers on which a unit must not be placed.
 
-        These are the headroom for urgent work and the workers on which the
-        unit's job failed. The latter are allowed if no others are left.
+        These are the headroom for urgent work, the workers that are excluded
+        because of crashes (``isolation``, by default the strictest set), and
+        those on which the unit's job failed. The latter are allowed if no
+        others are left.
         """
-        headroom = self._find_headroom(waiting)
+        if isolation is None:
+            isolation = self._list_isolation(waiting)[0]
+        headroom = self._find_headroom(waiting) | isolation
         if waiting.avoided_workers >= self._state.workers.keys() - headroom:
             return headroom
         return waiting.avoided_workers | headroom
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -8,12 +8,17 @@
 again only after its run is closed.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
 import enum
 import re
 
+from hickorywing.policy.crashes import append_crash
+from hickorywing.policy.crashes import Crash
+from hickorywing.policy.crashes import explain_crashes
+from hickorywing.policy.crashes import find_deadly_task
 from hickorywing.policy.poolmodel import PoolJob
 from hickorywing.policy.poolmodel import Step
 
@@ -153,7 +158,9 @@
     and ``given_up_runs`` the runs with a member whose end was not reported.
     ``stopping`` is the reason why the run is being stopped, empty if it is
     not; ``stalls`` counts the stops because the run made no progress.
-    ``saved`` refers to the last checkpoint. ``placed_at_s`` is when the run
+    ``saved`` refers to the last checkpoint. ``crashes`` are the crashes of
+    workers under its tasks, and ``last_members`` the members of the run before
+    the present one, if this term has seen it. ``placed_at_s`` is when the run
     was placed, and ``placed_store_s`` the same moment by the store's clock as
     it is stored, ``None`` if it isn't yet. ``preempted_at_s`` is when the run
     was preempted for another unit.
@@ -178,6 +185,8 @@
     placed_store_s: float | None = None
     preempted_at_s: float | None = None
     stalls: int = 0
+    crashes: list[Crash] = field(default_factory=list)
+    last_members: list[Member] = field(default_factory=list)
 
     @property
     def key(self) -> tuple[str, int, int, int]:
@@ -212,6 +221,7 @@
     def place(self, workers: list[str], now_s: float) -> None:
         """Begin a new run on the given workers, one for each task."""
         self.run += 1
+        self.last_members = self.members
         self.members = [
             Member(self.first + offset, worker)
             for offset, worker in enumerate(workers)
@@ -245,6 +255,42 @@
         if self.count > 1 and not self.done and self.running:
             self.stopping = self.stopping or f"member {ending}"
 
+    def find_lost_tasks(self, worker: str) -> tuple[int, tuple[int, ...]]:
+        """Return the run and the tasks that a worker's crash has ended.
+
+        These are the tasks that were ordered to start there and whose end it
+        did not list. The run may have been given up and followed by another
+        one before the crash is known.
+        """
+        for run, members in (
+            (self.run, self.members),
+            (self.run - 1, self.last_members),
+        ):
+            tasks = tuple(
+                member.index
+                for member in members
+                if member.worker == worker
+                and member.tries
+                and (
+                    member.ending is None
+                    or member.ending in UNCONFIRMED_ENDINGS
+                )
+            )
+            if tasks:
+                return run, tasks
+        return self.run, ()
+
+    def record_crash(self, worker: str, alone: bool) -> bool:
+        """Record that a worker crashed; return whether that is new."""
+        run, tasks = self.find_lost_tasks(worker)
+        return append_crash(self.crashes, Crash(run, worker, tasks, alone))
+
+    def explain_crashes(self, workers: Collection[str]) -> bool:
+        """Record that another task crashed workers; return if it matters."""
+        before = self.crashes
+        self.crashes = explain_crashes(before, workers)
+        return self.crashes != before
+
     def count_failure(self, run: int) -> bool:
         """Count a failed run as an attempt, once; return whether it is new.
 
@@ -381,7 +427,7 @@
     def _compute_status(self) -> JobStatus:
         if self.cancelled:
             return JobStatus.CANCELLED
-        if self._is_exhausted():
+        if self._is_exhausted() or self.find_deadly_unit() is not None:
             return JobStatus.FAILED
         self._close_occurrences()
         if self._is_complete():
@@ -399,6 +445,17 @@
             if not unit.done and not self.job.steps[unit.step].lasting
         )
 
+    def find_deadly_unit(self) -> Unit | None:
+        """Return a unit with a task that is given up for crashing workers."""
+        for unit in self.units.values():
+            if (
+                unit.crashes
+                and not unit.done
+                and find_deadly_task(unit.crashes) is not None
+            ):
+                return unit
+        return None
+
     def _close_occurrences(self) -> None:
         """Drop the units of completed occurrences of a recurring job."""
         if self.job.occurrences == 0:
--- a/hickorywing/pooljobs.py
+++ b/hickorywing/pooljobs.py
@@ -10,13 +10,17 @@
 from hickorywing.metrics import Metrics
 from hickorywing.openmembers import OpenMember
 from hickorywing.openmembers import OpenMembers
+from hickorywing.policy.crashes import find_deadly_task
+from hickorywing.policy.crashes import list_crashes_of
 from hickorywing.policy.poolhealth import WorkerHealth
 from hickorywing.policy.poolpreemption import count_core_equivalents
 from hickorywing.policy.poolruns import Ending
+from hickorywing.policy.poolruns import format_task
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.policy.poolruns import Member
 from hickorywing.policy.poolruns import parse_task
+from hickorywing.policy.poolruns import TaskName
 from hickorywing.policy.poolruns import Unit
 from hickorywing.poolrows import cancel_key
 from hickorywing.poolrows import encode_status
@@ -32,6 +36,8 @@
 # Limits the deletions of one sweep to 75 rows, which take two transactions of
 # the committer. 15 jobs every 10 s are enough for 130,000 jobs a day.
 MAX_DELETED_PER_SWEEP = 15
+# Names in a log line; a worker has a few dozen tasks at most.
+MAX_LOGGED_TASKS = 20
 
 
 class PoolJobs:
@@ -248,6 +254,70 @@
         self._update_status(state)
         return True
 
+    def record_crash(self, worker: str) -> None:
+        """Record that a worker crashed, for each task that ran there.
+
+        A job with a task that has crashed too many workers fails.
+        """
+        lost = [
+            (state, unit, unit.find_lost_tasks(worker)[1])
+            for state in self.live.values()
+            for unit in state.units.values()
+        ]
+        lost = [item for item in lost if item[2]]
+        changed = {
+            state.job.job_id: state
+            for state, unit, _ in lost
+            if unit.record_crash(worker, alone=len(lost) == 1)
+        }
+        if not changed:
+            return
+        names = [
+            format_task(
+                TaskName(unit.job_id, unit.occurrence, unit.step, task)
+            )
+            for _, unit, tasks in lost
+            for task in tasks
+        ]
+        self._log.write(
+            LogEvent.WORKER_CRASHED,
+            worker=worker,
+            tasks=names[:MAX_LOGGED_TASKS],
+            units=len(lost),
+        )
+        self._metrics.count("workers_crashed")
+        for state in changed.values():
+            unit = state.find_deadly_unit()
+            if unit is not None and not state.final:
+                self._give_up(unit)
+            self._update_status(state)
+
+    def _give_up(self, unit: Unit) -> None:
+        """Log that a task is given up, and absolve others of its crashes."""
+        task = find_deadly_task(unit.crashes)
+        crashes = list_crashes_of(task, unit.crashes)
+        workers = [crash.worker for crash in crashes]
+        self._log.write(
+            LogEvent.TASK_GIVEN_UP,
+            task=format_task(
+                TaskName(unit.job_id, unit.occurrence, unit.step, task)
+            ),
+            run=unit.run,
+            crashed=workers,
+            alone=[crash.worker for crash in crashes if crash.alone],
+        )
+        self._metrics.count("tasks_given_up")
+        if not crashes[-1].alone:
+            # Another task may have been the cause.
+            return
+        for state in self.live.values():
+            others = [
+                item for item in state.units.values() if item is not unit
+            ]
+            # The list lets all units be marked, not only the first ones.
+            if any([item.explain_crashes(workers) for item in others]):
+                self.store(state)
+
     def _record_health(
         self, state: JobState, member: Member, ending: Ending
     ) -> None:
--- a/hickorywing/progressrows.py
+++ b/hickorywing/progressrows.py
@@ -20,6 +20,7 @@
 from hickorywing.clock import now_s
 from hickorywing.decoding import Count
 from hickorywing.decoding import Number
+from hickorywing.policy.crashes import Crash
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
@@ -51,7 +52,9 @@
 
     ``members`` holds the task's index, the worker and the ending, which is
     empty while the member may be running. ``placed_at_s`` is by the store's
-    clock, which all controllers share and which never jumps.
+    clock, which all controllers share and which never jumps. ``crashes`` holds
+    the run, the worker, the tasks, whether they were alone there and whether
+    another task explains it; rows of earlier builds lack it.
     """
 
     occurrence: Count
@@ -63,6 +66,7 @@
     saved: str
     members: list[tuple[Count, str, str]]
     placed_at_s: Number = 0.0
+    crashes: list[tuple[Count, str, list[Count], bool, bool]] = []
 
 
 class ProgressRow(msgspec.Struct, array_like=True):
@@ -214,6 +218,18 @@
                     for item in unit.members
                 ],
                 0.0 if unit.done else unit.placed_store_s,
+                []
+                if unit.done
+                else [
+                    (
+                        item.run,
+                        item.worker,
+                        list(item.tasks),
+                        item.alone,
+                        item.explained,
+                    )
+                    for item in unit.crashes
+                ],
             )
 
 
@@ -331,6 +347,10 @@
         Member(index, worker, Ending(ending) if ending else None, tries=1)
         for index, worker, ending in row.members
     ]
+    unit.crashes = [
+        Crash(run, worker, tuple(tasks), alone, explained)
+        for run, worker, tasks, alone, explained in row.crashes
+    ]
     if unit.running and any(item.ending for item in unit.members):
         unit.stopping = "another member has ended"
     if unit.running and len(unit.members) < unit.count:
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -60,6 +60,7 @@
         self._log = log
         self._metrics = metrics
         self._known: dict[str, KnownWorker] = {}
+        self._crashed: set[str] = set()
 
     @property
     def worker_pace(self) -> WorkerPace:
@@ -74,6 +75,8 @@
         if report.epoch > self._lease.epoch:
             self._lease.step_down(f"an agent reported epoch {report.epoch}")
             return
+        for worker in report.crashed:
+            self._record_crash(worker)
         if report.left in self._workers:
             self._remove_worker(report.left)
         if not report.worker:
@@ -118,6 +121,12 @@
             return True
         return bool(self._jobs.members.on_worker(link.worker))
 
+    def _record_crash(self, worker: str) -> None:
+        """Record the crash of an incarnation, which many reports repeat."""
+        if worker not in self._crashed:
+            self._crashed.add(worker)
+            self._jobs.record_crash(worker)
+
     def _remove_worker(self, worker: str) -> None:
         """Remove a worker that has left, and end its members as lost."""
         self._log.write(LogEvent.WORKER_LEFT, worker=worker)
--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -1,7 +1,8 @@
 """A stand-in for a worker with the platform's runner interface, with faults.
 
 The payload of a task is JSON: ``run_s`` is its run time in seconds, ``how`` is
-how it ends, and ``saves`` tells whether it writes checkpoints.
+how it ends, ``crash`` if it crashes the worker, and ``saves`` tells whether it
+writes checkpoints.
 """
 
 import asyncio
@@ -86,7 +87,8 @@
     earlier incarnations. ``address`` is that of the worker, ``agent`` that to
     which its heartbeats go. Tests set ``state`` and ``remaining_ms``, which
     are sent in heartbeats, and ``lose_answers``, the number of next starts
-    whose answer comes too late.
+    whose answer comes too late. ``crashes`` counts the crashes that tasks
+    have caused.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         self.state = "ready"
         self.remaining_ms = 0
         self.lose_answers = 0
+        self.crashes = 0
         self.gone = False
         self._pool = pool
         self._zone = zone
@@ -214,6 +217,8 @@
             now_s = time.monotonic()
             expired = self._runs and self.clock_ms() > self._lease_ms
             for run in list(self._runs.values()):
+                if run.task not in self._runs:
+                    break  # The worker has crashed.
                 if expired:
                     self._end_run(run, "lapsed")
                 elif now_s >= run.ends_s:
@@ -221,6 +226,10 @@
             await asyncio.sleep(TICK_S)
 
     def _end_run(self, run: Run, how: str) -> None:
+        if how == "crash":
+            self.crashes += 1
+            self.crash()
+            return
         del self._runs[run.task]
         self.ends.append(EndRecord(time.time(), run.task, run.run, how))
         self._closed_runs[run.task] = run.run
--- a/tests/test_poolpath.py
+++ b/tests/test_poolpath.py
@@ -1,6 +1,7 @@
 """Jobs through real entries and agents, against emulators of the platform."""
 
 import asyncio
+from collections import Counter
 import json
 import signal
 import time
@@ -305,6 +306,54 @@
         )
 
 
+class TestCrashingTask:
+    """A job whose task crashes each worker that starts it."""
+
+    def count_crashes(self, system) -> int:
+        return sum(worker.crashes for worker in system.workers.values())
+
+    async def test_it_is_given_up(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=3, entries=1) as system:
+            await system.submit(JOB + "0", run_s=3)
+            await system.submit(JOB + "1", how="crash")
+            await system.wait_status(JOB + "1", "failed")
+            assert self.count_crashes(system) <= 5
+            await system.wait_status(JOB + "0", "completed")
+
+    async def test_every_member_of_a_gang_does(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=3, entries=1) as system:
+            await system.submit(JOB + "2", how="crash", count=12, gang=True)
+            await system.wait_status(JOB + "2", "failed")
+            starts = Counter(start.task for start in system.list_starts())
+            assert max(starts.values()) <= 5
+
+    async def test_crashes_are_counted_across_restarts(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2) as system:
+            await system.submit(JOB + "3", how="crash", run_s=1)
+            await system.wait(lambda: self.count_crashes(system) == 2)
+            for name in system.entries:
+                system.kill(name)
+            for name in system.entries:
+                system.restart(name)
+            await system.wait_status_after_restart(JOB + "3", "failed")
+            assert self.count_crashes(system) <= 5
+            await asyncio.sleep(2)
+            assert self.count_crashes(system) <= 5
+
+    async def test_holder_is_killed_after_each_crash(self, tmp_path):
+        async with PlatformSystem(tmp_path, workers=2) as system:
+            await system.submit(JOB + "4", how="crash", run_s=1)
+            for crashes in (1, 2):
+                await system.wait(
+                    lambda n=crashes: self.count_crashes(system) >= n
+                )
+                holder = system.find_controller()
+                system.kill(holder)
+                system.restart(holder)
+            await system.wait_status_after_restart(JOB + "4", "failed")
+            assert self.count_crashes(system) <= 5
+
+
 class TestConfiguration:
     """Entries follow the operator's configuration.
 
--- a/tests/test_progressrows.py
+++ b/tests/test_progressrows.py
@@ -5,6 +5,7 @@
 from poolhelpers import make_step
 import pytest
 
+from hickorywing.policy.crashes import Crash
 from hickorywing.policy.poolmodel import PoolJob
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
@@ -37,6 +38,28 @@
 )
 
 
+class EarlierUnitRow(msgspec.Struct, array_like=True):
+    """A unit as the build before the count of crashes reads it."""
+
+    occurrence: int
+    step: int
+    first: int
+    run: int
+    failures: int
+    done: bool
+    saved: str
+    members: list[tuple[int, str, str]]
+    placed_at_s: float = 0.0
+
+
+class EarlierProgressRow(msgspec.Struct, array_like=True):
+    """A small job's row as that build reads it."""
+
+    status: JobStatus
+    finished: list[int] = []
+    units: list[EarlierUnitRow] = []
+
+
 def place(state: JobState, worker: str = WORKER) -> None:
     """Begin a run of each unit that may be placed."""
     for unit in list(state.list_ready_units()):
@@ -119,6 +142,31 @@
         unit = state.units[(0, 0, 1)]
         assert (unit.run, unit.failures, unit.saved) == (2, 1, "s")
         assert unit.members[0].worker == "w2"
+        assert unit.crashes == []
+
+    def test_crashes_of_workers(self):
+        stored = Stored(make_job(steps=(make_step(1, count=2, gang=True),)))
+        place(stored.state)
+        unit = stored.state.units[(0, 0, 0)]
+        for member in unit.members:
+            member.tries = 1
+        unit.record_crash(WORKER, alone=True)
+        stored.store()
+        restored = stored.restore().units[(0, 0, 0)]
+        assert restored.crashes == [Crash(1, WORKER, (0, 1), True)]
+
+    def test_earlier_builds_read_rows_with_crashes(self):
+        stored = Stored(make_job())
+        place(stored.state)
+        unit = stored.state.units[(0, 0, 0)]
+        unit.members[0].tries = 1
+        unit.record_crash(WORKER, alone=True)
+        stored.store()
+        row = msgspec.msgpack.decode(
+            stored.rows[MAIN], type=EarlierProgressRow
+        )
+        assert row.units[0].run == 1
+        assert row.units[0].members == [(0, WORKER, "")]
 
 
 class TestLargeJobs:
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -11,6 +11,7 @@
 from hickorywing.clock import now_s
 from hickorywing.committer import Committer
 from hickorywing.decisions import DecisionLog
+from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
 from hickorywing.orders import EndedRun
 from hickorywing.orders import OrderAnswer
@@ -790,3 +791,187 @@
         restore_progress(restored_state, row, 503.0)
         age_s = now_s() - restored_state.units[(0, 0, 0)].placed_at_s
         assert abs(age_s - 7.0) < 0.2
+
+
+class TestCrashingTask:
+    """A task that crashes each worker that starts it is not started on."""
+
+    def start(self, control: Control, *workers: str) -> list[JobState]:
+        """Return jobs that have been started on the workers."""
+        states = []
+        for number, worker in enumerate(workers, 1):
+            state = control.accept(f"j{number}")
+            self.start_again(control, state, worker)
+            states.append(state)
+        return states
+
+    def start_again(
+        self, control: Control, state: JobState, worker: str
+    ) -> None:
+        unit = state.units[(0, 0, 0)]
+        control.runs.jobs.place(unit, [worker])
+        unit.committed = True
+        unit.members[0].tries = 1
+
+    def crash(self, control: Control, *workers: str) -> None:
+        """Report the last incarnations of a worker that have crashed."""
+        report = WorkerReport(left=workers[-1], crashed=workers)
+        control.runs.reports.handle_report(FakeLink(""), report)
+
+    def crash_under(
+        self, control: Control, state: JobState, crashes: int
+    ) -> None:
+        """Let a task crash workers until it is given up."""
+        for number in range(crashes):
+            if state.final:
+                return
+            worker = f"vm{number}/i@{number + 1}"
+            if not state.units[(0, 0, 0)].running:
+                self.start_again(control, state, worker)
+            self.add_worker(control, worker)
+            self.crash(control, worker)
+
+    def add_worker(self, control: Control, worker: str) -> None:
+        control.runs.reports.handle_report(
+            FakeLink(worker), WorkerReport(worker=worker)
+        )
+
+    async def test_third_crash_ends_the_job(self):
+        recorded = RecordedLog()
+        async with Control(output=recorded) as control:
+            state = control.accept("j1")
+            self.crash_under(control, state, 9)
+            assert state.status is JobStatus.FAILED
+            assert state.units[(0, 0, 0)].run == 3
+            key = status_key("p", "j1")
+            await control.wait(lambda: key in control.store.rows)
+            row = control.store.rows[key]
+            assert decode_status(row.value) is JobStatus.FAILED
+        line = recorded.find(LogEvent.TASK_GIVEN_UP)
+        assert line["task"] == "j1.0.0.0"
+        assert len(line["crashed"]) == 3
+        line = recorded.find(LogEvent.WORKER_CRASHED)
+        assert line["tasks"] == ["j1.0.0.0"]
+
+    async def test_innocent_task_on_the_same_workers(self):
+        async with Control() as control:
+            deadly, other = self.start(control, "vm/i@1", "vm/i@1")
+            self.add_worker(control, "vm/i@1")
+            self.crash(control, "vm/i@1")
+            for worker in ("vm/i@2", "vm/i@3"):
+                assert not deadly.final
+                self.start_again(control, deadly, worker)
+                self.add_worker(control, worker)
+                self.crash(control, worker)
+            assert deadly.status is JobStatus.FAILED
+            assert not other.final
+            (crash,) = other.units[(0, 0, 0)].crashes
+            assert crash.explained
+
+    async def test_crashes_on_shared_workers_only(self):
+        async with Control() as control:
+            deadly, other = control.accept("j1"), control.accept("j2")
+            for number in range(1, 5):
+                worker = f"vm/i@{number}"
+                for state in (deadly, other):
+                    self.start_again(control, state, worker)
+                self.add_worker(control, worker)
+                self.crash(control, worker)
+                assert not deadly.final and not other.final
+            self.start_again(control, deadly, "vm/i@5")
+            self.add_worker(control, "vm/i@5")
+            self.crash(control, "vm/i@5")
+            assert deadly.status is JobStatus.FAILED
+            assert not other.final
+
+    async def test_both_tasks_are_never_apart(self):
+        async with Control() as control:
+            states = [control.accept("j1"), control.accept("j2")]
+            for number in range(1, 6):
+                worker = f"vm/i@{number}"
+                for state in states:
+                    self.start_again(control, state, worker)
+                self.add_worker(control, worker)
+                self.crash(control, worker)
+            # Giving up one of them must not let the other one start on.
+            assert [state.status for state in states] == [
+                JobStatus.FAILED,
+                JobStatus.FAILED,
+            ]
+
+    async def test_repeated_reports_count_once(self):
+        async with Control() as control:
+            (state,) = self.start(control, "vm/i@1")
+            self.add_worker(control, "vm/i@1")
+            for _ in range(5):
+                self.crash(control, "vm/i@1")
+            assert len(state.units[(0, 0, 0)].crashes) == 1
+
+    async def test_crash_seen_by_two_controllers_counts_once(self):
+        async with Control() as control:
+            (state,) = self.start(control, "vm/i@1")
+            self.add_worker(control, "vm/i@1")
+            self.crash(control, "vm/i@1")
+            key = progress_key("p", "j1")
+            await control.wait(lambda: key in control.store.rows)
+            await control.wait(lambda: control.committer.pending_s() == 0)
+            stored = control.store.rows[key].value
+        async with Control() as successor:
+            state = JobState(make_job("j1"), 1, 0.0)
+            restore_progress(state, ProgressRows(stored), 0.0)
+            successor.runs.jobs.add(state, restored=True)
+            self.crash(successor, "vm/i@1")
+            assert len(state.units[(0, 0, 0)].crashes) == 1
+            self.crash_under(successor, state, 9)
+            assert state.status is JobStatus.FAILED
+            assert state.units[(0, 0, 0)].run == 3
+
+    async def test_start_without_an_answer(self):
+        async with Control() as control:
+            (state,) = self.start(control, "vm/i@1")
+            # The run was restored from rows: this term never met the worker.
+            self.crash(control, "vm/i@1")
+            assert len(state.units[(0, 0, 0)].crashes) == 1
+
+    async def test_task_that_was_not_started_yet(self):
+        async with Control() as control:
+            (state,) = self.start(control, "vm/i@1")
+            state.units[(0, 0, 0)].members[0].tries = 0
+            self.crash(control, "vm/i@1")
+            assert state.units[(0, 0, 0)].crashes == []
+
+    async def test_run_that_was_given_up_before(self):
+        async with Control() as control:
+            (state,) = self.start(control, "vm/i@1")
+            (item,) = control.runs.jobs.members
+            control.runs.jobs.end_member(item, Ending.LOST)
+            self.start_again(control, state, "vm2/i@1")
+            self.crash(control, "vm/i@1")
+            assert [crash.run for crash in state.units[(0, 0, 0)].crashes] == [
+                1
+            ]
+
+    async def test_run_that_had_ended(self):
+        async with Control() as control:
+            (state,) = self.start(control, "vm/i@1")
+            (item,) = control.runs.jobs.members
+            control.runs.jobs.end_member(item, Ending.FAILED)
+            self.crash(control, "vm/i@1")
+            assert state.units[(0, 0, 0)].crashes == []
+
+    async def test_worker_that_crashes_again_before_the_run_is_closed(self):
+        async with Control() as control:
+            (state,) = self.start(control, "vm/i@1")
+            self.add_worker(control, "vm/i@1")
+            self.crash(control, "vm/i@1")
+            self.crash(control, "vm/i@1", "vm/i@2")
+            assert len(state.units[(0, 0, 0)].crashes) == 1
+
+    async def test_worker_that_left_as_planned(self):
+        async with Control() as control:
+            (state,) = self.start(control, "vm/i@1")
+            self.add_worker(control, "vm/i@1")
+            control.runs.reports.handle_report(
+                FakeLink(""), WorkerReport(left="vm/i@1")
+            )
+            assert state.units[(0, 0, 0)].crashes == []
