Don't take a worker's own crashes for those of a long task

Cause: a crash counted alike however long the task had run.

Change: only crashes within two seconds of the start order lead to giving a task up after three; the limit of five crashes stays, as does the caution at its next placement.

The new test of three crashes, each 5 s after the start, fails before and passes now.

--- a/hickorywing/policy/crashes.py
+++ b/hickorywing/policy/crashes.py
@@ -4,9 +4,10 @@
 their work with it. A crash doesn't show which of the tasks caused it, so each
 of them is blamed: it is then kept apart from other blamed tasks, and after
 another crash from all others (see ``isolation``). Once three workers have
-crashed under a task, the last one while nothing else ran there, it is given
-up, and the others are no longer blamed for its crashes. As a worker of its own
-isn't always to be had, five crashes suffice in any case.
+crashed under a task just after its start, the last one while nothing else ran
+there, it is given up, and the others are no longer blamed for its crashes. A
+worker may also crash by itself under a long task, and a worker of its own
+isn't always to be had: five crashes suffice in any case.
 """
 
 from collections.abc import Collection
@@ -25,11 +26,14 @@
     "list_crashes_of",
 ]
 
-# Crashes under a task after which it is given up if it was alone at the last.
+# Crashes just after its start, after which a task is given up if it was alone
+# at the last one.
 MIN_CRASHES = 3
 # Crashes after which it is given up, whatever else ran there. Those that are
 # explained count as well, as two such tasks may have been on one worker.
 MAX_CRASHES = 5
+# A crash is noticed within half a second; a start may take a second to arrive.
+MAX_EARLY_S = 2.0
 # Crashes kept for a unit. The tasks of a wide gang may each have some.
 MAX_KEPT_CRASHES = 20
 
@@ -40,14 +44,15 @@
 
     ``run`` is the number of the unit's run, ``worker`` the incarnation, and
     ``tasks`` the indexes of the tasks there. ``alone`` says that no task of
-    another unit was there, and ``explained`` that one that was is known to
-    crash workers.
+    another unit was there, ``early`` that they had just been started, and
+    ``explained`` that another task that was there is known to crash workers.
     """
 
     run: int
     worker: str
     tasks: tuple[int, ...]
     alone: bool
+    early: bool = True
     explained: bool = False
 
 
@@ -83,8 +88,11 @@
     for task, found in split_by_task(crashes):
         if found[-1].explained:
             continue
+        early = [crash for crash in found if crash.early]
         if len(found) >= MAX_CRASHES or (
-            found[-1].alone and count_crashes(found) >= MIN_CRASHES
+            found[-1].early
+            and found[-1].alone
+            and count_crashes(early) >= MIN_CRASHES
         ):
             return task
     return None
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -19,6 +19,7 @@
 from hickorywing.policy.crashes import Crash
 from hickorywing.policy.crashes import explain_crashes
 from hickorywing.policy.crashes import find_deadly_task
+from hickorywing.policy.crashes import MAX_EARLY_S
 from hickorywing.policy.poolmodel import PoolJob
 from hickorywing.policy.poolmodel import Step
 
@@ -118,11 +119,11 @@
 
     ``worker`` is an incarnation of a worker. ``seen`` is set once the worker
     has confirmed that the task runs there, and ``tries`` counts the start
-    orders sent. ``stopped_ms`` is the worker's clock when it confirmed a stop.
-    ``percent`` is the progress at ``percent_at_s``; ``first_percent`` is the
-    first progress reported, which may be high, as a run may resume from a
-    checkpoint. ``pace_recorded`` is set once the run has been used to measure
-    the worker's speed.
+    orders sent, the first one at ``ordered_s``. ``stopped_ms`` is the worker's
+    clock when it confirmed a stop. ``percent`` is the progress at
+    ``percent_at_s``; ``first_percent`` is the first progress reported, which
+    may be high, as a run may resume from a checkpoint. ``pace_recorded`` is
+    set once the run has been used to measure the worker's speed.
     """
 
     index: int
@@ -130,6 +131,7 @@
     ending: Ending | None = None
     seen: bool = False
     tries: int = 0
+    ordered_s: float | None = None
     stopped_ms: int | None = None
     percent: int = 0
     percent_at_s: float = 0.0
@@ -255,8 +257,8 @@
         if self.count > 1 and not self.done and self.running:
             self.stopping = self.stopping or f"member {ending}"
 
-    def find_lost_tasks(self, worker: str) -> tuple[int, tuple[int, ...]]:
-        """Return the run and the tasks that a worker's crash has ended.
+    def find_lost_members(self, worker: str) -> tuple[int, list[Member]]:
+        """Return the run and the members that a worker's crash has ended.
 
         These are the tasks that were ordered to start there and whose end it
         did not list. The run may have been given up and followed by another
@@ -266,8 +268,8 @@
             (self.run, self.members),
             (self.run - 1, self.last_members),
         ):
-            tasks = tuple(
-                member.index
+            lost = [
+                member
                 for member in members
                 if member.worker == worker
                 and member.tries
@@ -275,15 +277,26 @@
                     member.ending is None
                     or member.ending in UNCONFIRMED_ENDINGS
                 )
-            )
-            if tasks:
-                return run, tasks
-        return self.run, ()
+            ]
+            if lost:
+                return run, lost
+        return self.run, []
 
-    def record_crash(self, worker: str, alone: bool) -> bool:
+    def record_crash(self, worker: str, alone: bool, now_s: float) -> bool:
         """Record that a worker crashed; return whether that is new."""
-        run, tasks = self.find_lost_tasks(worker)
-        return append_crash(self.crashes, Crash(run, worker, tasks, alone))
+        run, lost = self.find_lost_members(worker)
+        started_s = max(
+            (member.ordered_s or self.placed_at_s for member in lost),
+            default=0.0,
+        )
+        crash = Crash(
+            run,
+            worker,
+            tuple(member.index for member in lost),
+            alone,
+            early=now_s - started_s <= MAX_EARLY_S,
+        )
+        return append_crash(self.crashes, crash)
 
     def explain_crashes(self, workers: Collection[str]) -> bool:
         """Record that another task crashed workers; return if it matters."""
--- a/hickorywing/pooljobs.py
+++ b/hickorywing/pooljobs.py
@@ -260,7 +260,7 @@
         A job with a task that has crashed too many workers fails.
         """
         lost = [
-            (state, unit, unit.find_lost_tasks(worker)[1])
+            (state, unit, unit.find_lost_members(worker)[1])
             for state in self.live.values()
             for unit in state.units.values()
         ]
@@ -268,16 +268,14 @@
         changed = {
             state.job.job_id: state
             for state, unit, _ in lost
-            if unit.record_crash(worker, alone=len(lost) == 1)
+            if unit.record_crash(worker, len(lost) == 1, now_s())
         }
         if not changed:
             return
         names = [
-            format_task(
-                TaskName(unit.job_id, unit.occurrence, unit.step, task)
-            )
-            for _, unit, tasks in lost
-            for task in tasks
+            format_task(unit.task(member))
+            for _, unit, members in lost
+            for member in members
         ]
         self._log.write(
             LogEvent.WORKER_CRASHED,
--- a/hickorywing/progressrows.py
+++ b/hickorywing/progressrows.py
@@ -53,8 +53,9 @@
     ``members`` holds the task's index, the worker and the ending, which is
     empty while the member may be running. ``placed_at_s`` is by the store's
     clock, which all controllers share and which never jumps. ``crashes`` holds
-    the run, the worker, the tasks, whether they were alone there and whether
-    another task explains it; rows of earlier builds lack it.
+    the run, the worker, the tasks, whether they were alone there and just
+    started, and whether another task explains it; rows of earlier builds lack
+    it.
     """
 
     occurrence: Count
@@ -66,7 +67,7 @@
     saved: str
     members: list[tuple[Count, str, str]]
     placed_at_s: Number = 0.0
-    crashes: list[tuple[Count, str, list[Count], bool, bool]] = []
+    crashes: list[tuple[Count, str, list[Count], bool, bool, bool]] = []
 
 
 class ProgressRow(msgspec.Struct, array_like=True):
@@ -226,6 +227,7 @@
                         item.worker,
                         list(item.tasks),
                         item.alone,
+                        item.early,
                         item.explained,
                     )
                     for item in unit.crashes
@@ -348,8 +350,8 @@
         for index, worker, ending in row.members
     ]
     unit.crashes = [
-        Crash(run, worker, tuple(tasks), alone, explained)
-        for run, worker, tasks, alone, explained in row.crashes
+        Crash(run, worker, tuple(tasks), *flags)
+        for run, worker, tasks, *flags in row.crashes
     ]
     if unit.running and any(item.ending for item in unit.members):
         unit.stopping = "another member has ended"
--- a/hickorywing/runorders.py
+++ b/hickorywing/runorders.py
@@ -164,6 +164,8 @@
         unit, member, run = item.unit, item.member, item.unit.run
         member.tries += 1
         sent_s = now_s()
+        if member.ordered_s is None:
+            member.ordered_s = sent_s
         answer = await link.start(
             member.worker, item.task, run, item.state.job.payload, unit.saved
         )
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -34,6 +34,14 @@
         crashes = make_crashes(*[False] * MAX_CRASHES)
         assert find_deadly_task(crashes) == 0
 
+    def test_long_after_the_start(self):
+        crashes = [
+            Crash(run, f"w{run}", (0,), True, early=False)
+            for run in range(1, MAX_CRASHES + 1)
+        ]
+        assert find_deadly_task(crashes[:-1]) is None
+        assert find_deadly_task(crashes) == 0
+
     def test_tasks_of_a_gang_are_counted_apart(self):
         crashes = [
             Crash(1, "w1", (0, 1), True),
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -884,6 +884,17 @@
             assert deadly.status is JobStatus.FAILED
             assert not other.final
 
+    async def test_workers_that_crash_by_themselves_under_a_long_task(self):
+        async with Control() as control:
+            state = control.accept("j1")
+            for number in range(1, 4):
+                worker = f"vm/i@{number}"
+                self.start_again(control, state, worker)
+                self.add_worker(control, worker)
+                state.units[(0, 0, 0)].members[0].ordered_s = now_s() - 5.0
+                self.crash(control, worker)
+            assert not state.final
+
     async def test_both_tasks_are_never_apart(self):
         async with Control() as control:
             states = [control.accept("j1"), control.accept("j2")]
