--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -937,6 +937,22 @@
             assert state.status is JobStatus.FAILED
             assert state.units[(0, 0, 0)].run == 3
 
+    async def count_commits(self, *crashed: str) -> int:
+        """Return the transactions in which the end of a worker is stored."""
+        key = progress_key("p", "j2")
+        async with Control() as control:
+            self.start(control, "vm/i@1", "vm/i@1")
+            self.add_worker(control, "vm/i@1")
+            control.runs.reports.handle_report(
+                FakeLink(""), WorkerReport(left="vm/i@1", crashed=crashed)
+            )
+            await control.wait(lambda: key in control.store.rows)
+            await control.wait(lambda: control.committer.pending_s() == 0)
+            return control.store.commits
+
+    async def test_crash_is_stored_with_the_ends_of_the_runs(self):
+        assert await self.count_commits("vm/i@1") == await self.count_commits()
+
     async def test_start_without_an_answer(self):
         async with Control() as control:
             (state,) = self.start(control, "vm/i@1")
