--- a/hickorywing/progressrows.py
+++ b/hickorywing/progressrows.py
@@ -20,6 +20,7 @@
 from hickorywing.clock import now_s
 from hickorywing.decoding import Count
 from hickorywing.decoding import Number
+from hickorywing.policy.crashes import Crash
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
@@ -52,9 +53,11 @@
 
     ``members`` holds the task's index, the worker and the ending, which is
     empty while the member may be running. ``placed_at_s`` is by the store's
-    clock, which all controllers share and which never jumps. Each of
-    ``uncertain_ends`` has the run, the task's index and the worker of an
-    inferred end that isn't known yet.
+    clock, which all controllers share and which never jumps. ``crashes`` holds
+    the run, the worker, the tasks, whether they were alone there and just
+    started, and whether another task explains it. Each of ``uncertain_ends``
+    has the run, the task's index and the worker of an inferred end that isn't
+    known yet. Rows of earlier builds lack both.
     """
 
     occurrence: Count
@@ -66,6 +69,7 @@
     saved: str
     members: list[tuple[Count, str, str]]
     placed_at_s: Number = 0.0
+    crashes: list[tuple[Count, str, list[Count], bool, bool, bool]] = []
     uncertain_ends: list[tuple[Count, Count, str]] = []
 
 
@@ -218,6 +222,19 @@
                     for item in unit.members
                 ],
                 0.0 if unit.done else unit.placed_store_s,
+                []
+                if unit.done
+                else [
+                    (
+                        item.run,
+                        item.worker,
+                        list(item.tasks),
+                        item.alone,
+                        item.early,
+                        item.explained,
+                    )
+                    for item in unit.crashes
+                ],
                 [
                     (run, end.index, end.worker)
                     for run, end in unit.uncertain_ends.items()
@@ -348,6 +365,10 @@
         for run, index, worker in row.uncertain_ends
     }
     unit.given_up_runs = set(unit.uncertain_ends)
+    unit.crashes = [
+        Crash(run, worker, tuple(tasks), *flags)
+        for run, worker, tasks, *flags in row.crashes
+    ]
     if unit.running and any(item.ending for item in unit.members):
         unit.stopping = "another member has ended"
     if unit.running and len(unit.members) < unit.count:
--- a/hickorywing/runorders.py
+++ b/hickorywing/runorders.py
@@ -199,6 +199,8 @@
         """Order a start that was checked against this report."""
         unit, member, run = item.unit, item.member, item.unit.run
         sent_s = now_s()
+        if member.ordered_s is None:
+            member.ordered_s = sent_s
         answer = await link.start(
             member.worker,
             item.task,
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -61,6 +61,7 @@
         self._metrics = metrics
         self._known: dict[str, KnownWorker] = {}
         self._awaited_leases: dict[str, float] = {}
+        self._crashed: set[str] = set()
 
     @property
     def worker_pace(self) -> WorkerPace:
@@ -69,6 +70,8 @@
 
     def handle_report(self, link: AgentLink, report: WorkerReport) -> None:
         """Process an agent's report about its worker."""
+        for worker in report.crashed:
+            self._record_crash(worker)
         if report.left in self._workers:
             self._remove_worker(report.left)
         if not report.worker:
@@ -126,6 +129,12 @@
         """
         return self._awaited_leases.get(worker, float("-inf"))
 
+    def _record_crash(self, worker: str) -> None:
+        """Record the crash of an incarnation, which many reports repeat."""
+        if worker not in self._crashed:
+            self._crashed.add(worker)
+            self._jobs.record_crash(worker)
+
     def _remove_worker(self, worker: str) -> None:
         """Remove a worker that has left, and end its members as lost.
 
--- a/hickorywing/standins/platformworker.py
+++ b/hickorywing/standins/platformworker.py
@@ -1,7 +1,8 @@
 """A stand-in for a worker with the platform's runner interface, with faults.
 
 The payload of a task is JSON: ``run_s`` is its run time in seconds, ``how`` is
-how it ends, and ``saves`` tells whether it writes checkpoints.
+how it ends, ``crash`` if it crashes the worker, and ``saves`` tells whether it
+writes checkpoints.
 """
 
 import asyncio
@@ -88,6 +89,7 @@
     are sent in heartbeats, and ``lose_answers``, the number of next starts
     whose answer comes too late. A start is carried out ``hold_starts_s``
     seconds after it was received, by the incarnation of that time.
+    ``crashes`` counts the crashes that tasks have caused.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         self.remaining_ms = 0
         self.lose_answers = 0
         self.hold_starts_s = 0.0
+        self.crashes = 0
         self.gone = False
         self._pool = pool
         self._zone = zone
@@ -216,6 +219,8 @@
             now_s = time.monotonic()
             expired = self._runs and self.clock_ms() > self._lease_ms
             for run in list(self._runs.values()):
+                if run.task not in self._runs:
+                    break  # The worker has crashed.
                 if expired:
                     self._end_run(run, "lapsed")
                 elif now_s >= run.ends_s:
@@ -223,6 +228,10 @@
             await asyncio.sleep(TICK_S)
 
     def _end_run(self, run: Run, how: str) -> None:
+        if how == "crash":
+            self.crashes += 1
+            self.crash()
+            return
         del self._runs[run.task]
         self.ends.append(EndRecord(time.time(), run.task, run.run, how))
         self._closed_runs[run.task] = run.run
