--- a/hickorywing/incarnations.py
+++ b/hickorywing/incarnations.py
@@ -101,6 +101,11 @@
         """Return whether an announcement waits for an answer."""
         return bool(self._unconfirmed) or self._leaves_by_s is not None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether a departure was announced and isn't refuted yet."""
+        return self._leaves_by_s is not None
+
     def may_have_restarted(self) -> bool:
         """Return whether another life under the same name was announced.
 
