--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -1236,6 +1236,16 @@
         line = recorded.find(LogEvent.WORKER_CRASHED)
         assert line["tasks"] == ["j1.0.0.0"]
 
+    async def test_crash_under_a_start_without_an_answer_counts(self):
+        async with Control() as control:
+            (state,) = self.start(control, "vm/i@1")
+            unit = state.units[(0, 0, 0)]
+            unit.members[0].seen = False
+            self.add_worker(control, "vm/i@1")
+            self.crash(control, "vm/i@1")
+            assert [item.worker for item in unit.crashes] == ["vm/i@1"]
+            assert unit.running
+
     async def test_innocent_task_on_the_same_workers(self):
         async with Control() as control:
             deadly, other = self.start(control, "vm/i@1", "vm/i@1")
