Tell by the agent's own clock how old a worker's list is

Cause: whether a list was from after an inferred end was told by the agent's estimate of the worker's clock. A heartbeat that was held up while the agent was frozen sets that estimate back, so that the list from before the freeze seemed new, and the end that it could not contain yet was taken as known.

Change: a report says how long ago the poll was sent, by the agent's own clock. Reports of earlier builds don't, and settle nothing this way.

No call is added.

--- a/hickorywing/incarnations.py
+++ b/hickorywing/incarnations.py
@@ -39,8 +39,9 @@
     unknown. The times of leases are on that clock: ``lease_ms`` is the end of
     the lease that the controller grants, ``granted_ms`` of the longest one
     that was passed on. The worker may forget the ends of runs up to the number
-    ``acknowledged``. ``refusals`` counts the connections refused in a row, and
-    ``answered_s`` is the time of the last answer.
+    ``acknowledged``. ``refusals`` counts the connections refused in a row.
+    ``asked_s`` is when the call that was answered last was sent, and
+    ``answered_s`` when the answer came.
     """
 
     announcement: WorkerAnnouncement
@@ -51,6 +52,7 @@
     granted_ms: int = 0
     acknowledged: int = 0
     refusals: int = 0
+    asked_s: float = float("-inf")
     answered_s: float = float("-inf")
 
     @property
@@ -58,9 +60,10 @@
         """Return whether it has answered."""
         return self.poll is not None
 
-    def record_poll(self, poll: PollResult) -> None:
-        """Record an answer of the worker."""
+    def record_poll(self, poll: PollResult, asked_s: float) -> None:
+        """Record an answer of the worker to a call sent at ``asked_s``."""
         self.poll = poll
+        self.asked_s = asked_s
         self.clock = WorkerClock(poll.clock_ms)
         self.answered_s = now_s()
 
--- a/hickorywing/orders.py
+++ b/hickorywing/orders.py
@@ -144,7 +144,8 @@
     empty if there is none, and ``left`` the last one that is known to have
     ended. ``epoch`` is the highest epoch that the agent has seen. ``clock_ms``
     is the agent's estimate of the worker's clock now, and ``looked_ms`` the
-    worker's clock at the last poll, to which ``running`` and ``ended`` belong.
+    worker's clock at the last poll, to which ``running`` and ``ended`` belong;
+    that poll was sent ``asked_ago_ms`` ago, -1 in reports of earlier builds.
     ``silent`` says that the worker did not answer the last poll; meanwhile the
     agent forwards neither leases nor starts. ``granted_ms`` is the end of the
     longest lease that this process of the agent has forwarded. ``crashed`` are
@@ -164,6 +165,7 @@
     remaining_ms: int = 0
     clock_ms: int = 0
     looked_ms: int = 0
+    asked_ago_ms: int = -1
     silent: bool = False
     granted_ms: int = 0
     running: tuple[RunningRun, ...] = ()
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -361,15 +361,17 @@
         an empty list shows that it has no others. A list from before the
         inference shows nothing, as the run may have ended after it.
         """
-        if report.ended:
+        if report.ended or report.asked_ago_ms < 0:
             return
         listed = {(item.task, item.run) for item in report.running}
-        polled_ago_s = max(0, report.clock_ms - report.looked_ms) / 1000
+        # The estimate of the worker's clock doesn't tell: a heartbeat that was
+        # held up sets it back.
+        asked_s = now_s() - report.asked_ago_ms / 1000
         for task, run, end in self._jobs.list_uncertain_ends():
             if (
                 end.worker == report.worker
                 and (task, run) not in listed
-                and now_s() - polled_ago_s > end.since_s
+                and asked_s > end.since_s
             ):
                 self._jobs.settle_end(task, run, end.worker)
 
--- a/hickorywing/workermonitor.py
+++ b/hickorywing/workermonitor.py
@@ -160,6 +160,7 @@
         checked = incarnations.list_unconfirmed()
         epoch = self.epoch
         lease_ms, acknowledged = self._choose_terms(followed)
+        asked_s = now_s()
         self._poll_interrupted.clear()
         self._poll_waits = wait_s == POLL_WAIT_S
         try:
@@ -187,7 +188,7 @@
             self._end_presence()
         if not confirmed:
             return
-        self._apply_poll(incarnations.followed, poll, epoch)
+        self._apply_poll(incarnations.followed, poll, asked_s, epoch)
         incarnations.check(checked, poll)
         if checking:
             self._last_check_s = now_s()
@@ -265,14 +266,18 @@
             self._end_presence()
 
     def _apply_poll(
-        self, followed: Incarnation, poll: PollResult, epoch: int
+        self,
+        followed: Incarnation,
+        poll: PollResult,
+        asked_s: float,
+        epoch: int,
     ) -> None:
         if self._silent:
             self._silent = False
             self._log.write(LogEvent.WORKER_ANSWERS, worker=self.key)
             self._publish_change()
         last = followed.poll
-        followed.record_poll(poll)
+        followed.record_poll(poll, asked_s)
         if not self._present and epoch == self.epoch:
             self._present = True
             self._publish_change()
@@ -349,6 +354,7 @@
             remaining_ms=announcement.remaining_ms,
             clock_ms=followed.clock.estimate_ms(),
             looked_ms=followed.poll.clock_ms,
+            asked_ago_ms=int((now_s() - followed.asked_s) * 1000),
             silent=self._silent,
             granted_ms=followed.granted_ms,
             running=followed.poll.running,
--- a/tests/test_runcontrol.py
+++ b/tests/test_runcontrol.py
@@ -661,16 +661,24 @@
         return state, unit
 
     def report(
-        self, control: Control, looked_ms: int, *ends: EndedRun
+        self,
+        control: Control,
+        looked_ms: int,
+        *ends: EndedRun,
+        clock_ms: int = 10_000,
+        asked_ago_ms: int | None = None,
     ) -> FakeLink:
         """Report of the worker whose member's end was inferred."""
         link = control.runs._workers["v2/i@1"]
+        if asked_ago_ms is None:
+            asked_ago_ms = max(0, clock_ms - looked_ms)
         control.runs.reports.handle_report(
             link,
             WorkerReport(
                 worker=link.worker,
-                clock_ms=10_000,
+                clock_ms=clock_ms,
                 looked_ms=looked_ms,
+                asked_ago_ms=asked_ago_ms,
                 ended=ends,
             ),
         )
@@ -729,6 +737,18 @@
             self.report(control, 10_000)
             assert list(state.list_ready_units()) == [unit]
 
+    @pytest.mark.parametrize("asked_ago_ms", [1000, -1])
+    async def test_is_waited_for_if_the_list_may_be_older(self, asked_ago_ms):
+        """A heartbeat that was held up sets the estimated clock back."""
+        async with Control() as control:
+            _, unit = await self.fail_after_inferred_end(control)
+            link = self.report(
+                control, 9_000, clock_ms=9_000, asked_ago_ms=asked_ago_ms
+            )
+            assert not list(unit.open_members())
+            assert unit.uncertain_ends
+            assert link.busy
+
     async def test_a_successor_counts_it_as_an_attempt(self):
         async with Control() as control:
             state, _ = await self.fail_after_inferred_end(control)
