--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -363,6 +363,7 @@
         assert recorded.find(LogEvent.START_REFUSED)["run"] == 1
         assert "worker" in recorded.find(LogEvent.WORKER_ANSWERS)
         assert "worker" in recorded.find(LogEvent.DEPARTURE_ANNOUNCED)
+        assert "worker" in recorded.find(LogEvent.WORKER_LEFT)
         assert "reason" in recorded.find(LogEvent.WORKER_LEFT)
 
     async def test_announcement_of_a_worker_that_does_not_answer(self):
