Believe the end of a run whose row was lost

Cause: mark_done ignored an end whose run is newer than the known one, and one of an occurrence that wasn't open yet, and the end was acknowledged all the same. A worker's list is the last trace of such a run.

"job restored" and new fields of "end of another run" now tell a lost row from a unit that never ran.

An end is now taken over with its run's number, stored and then acknowledged: done marks the unit, failed is an attempt, any other lets the next run have a higher number.

--- a/hickorywing/knownworker.py
+++ b/hickorywing/knownworker.py
@@ -22,6 +22,9 @@
     ``polled_ms`` is the worker's clock at the last poll whose lists were used.
     ``leaves_s`` is the time at which a draining worker may leave, and
     ``notice_s`` the seconds until then at the first report of the drain.
+    ``has_lapsed`` says that the ends it lists may be older than the jobs: it
+    was without a lease for so long that a job may have been forgotten and
+    another one submitted under its name.
     """
 
     stored_up_to: int = 0
@@ -29,6 +32,21 @@
     polled_ms: int = 0
     leaves_s: float | None = None
     notice_s: float = 0.0
+    has_lapsed: bool = False
+
+    def record_lapse(self, report: WorkerReport, keep_ended_s: float) -> None:
+        """Update ``has_lapsed``; ended jobs are kept for ``keep_ended_s``.
+
+        A job is forgotten only after its runs have ended for that long, and
+        no run outlives the lease. Half of the time leaves room for the last
+        lease and for clocks that differ. An agent that was restarted doesn't
+        know the earlier leases. A worker that lists no ends has no old ones.
+        """
+        lapsed_ms = report.clock_ms - report.granted_ms
+        if not report.ended:
+            self.has_lapsed = False
+        elif report.granted_ms and lapsed_ms > 1000 * keep_ended_s / 2:
+            self.has_lapsed = True
 
     def record_end(self, end: EndedRun) -> bool:
         """Record an end; return whether it was not listed before."""
--- a/hickorywing/logevents.py
+++ b/hickorywing/logevents.py
@@ -107,9 +107,11 @@
     RUN_TIME_NOT_LEARNED = "run time not learned"
     EPOCH_SEEN = "epoch seen"
 
-    # A job is accepted, changes its status or ends. "job set aside": an error
-    # was raised while it was planned, so plans leave it out for a while.
+    # A job is accepted, changes its status or ends. "job restored": a new
+    # controller has read the job's progress; "job set aside": an error was
+    # raised while it was planned, so plans leave it out for a while.
     JOB_SEEN = "job seen"
+    JOB_RESTORED = "job restored"
     JOB_UNREADABLE = "job unreadable"
     JOB_CANCELLED = "job cancelled"
     JOB_STATUS = "job status"
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -263,7 +263,7 @@
 
     def place(self, workers: list[str], now_s: float) -> None:
         """Begin a new run on the given workers, one for each task."""
-        self.run += 1
+        self.run = max(self.run, *self.given_up_runs, 0) + 1
         self.last_members = self.members
         self.members = [
             Member(self.first + offset, worker)
@@ -276,6 +276,24 @@
         self.placed_store_s = None
         self.mark_changed()
 
+    def learn_run(self, run: int, now_s: float) -> bool:
+        """Take over a run that a worker has listed and no row knows.
+
+        Returns whether it is newer than all that are known. Its members are
+        unknown, so it counts as given up. A present run goes on.
+        """
+        if run <= max(self.run, *self.given_up_runs, 0):
+            return False
+        self.given_up_runs.add(run)
+        if not self.running:
+            self.run = run
+            self.last_members, self.members = self.members, []
+            self.committed = False
+            self.placed_at_s = now_s
+            self.placed_store_s = None
+        self.mark_changed()
+        return True
+
     def record_save(self, saved: str) -> bool:
         """Record a checkpoint; return whether it is new."""
         if not saved or saved == self.saved:
@@ -553,6 +571,19 @@
         first = 0 if gang else task.index
         return self.units.get((task.occurrence, task.step, first))
 
+    def find_or_open_unit(self, task: TaskName, now_s: float) -> Unit | None:
+        """Return the unit of a task that was started, ``None`` if it is over.
+
+        Its occurrence was due then, also if it isn't open yet in this term.
+        """
+        occurrence = task.occurrence
+        if (
+            occurrence < self.job.occurrences
+            and occurrence not in self.finished
+        ):
+            self.open_occurrence(occurrence, now_s)
+        return self.find_unit(task)
+
     def update_status(self) -> bool:
         """Recompute the status; return whether it has changed."""
         before = self.status
--- a/hickorywing/poolcontroller.py
+++ b/hickorywing/poolcontroller.py
@@ -435,8 +435,29 @@
                 stored_row = StoredRow(key, stored.main, version)
                 log_unreadable(self._log, stored_row, error)
                 return
+            self._log_restored(state, stored)
         self._runs.jobs.add(state, progress is not None, stored)
 
+    def _log_restored(self, state: JobState, rows: ProgressRows) -> None:
+        """Log what the rows of a job that may go on tell of it.
+
+        A unit without a run in an open occurrence never ran by the rows; an
+        ``end of another run`` of its task shows that they have lost it.
+        """
+        if state.final:
+            return
+        units = state.units.values()
+        self._log.write(
+            LogEvent.JOB_RESTORED,
+            job=state.job.job_id,
+            status=state.status,
+            finished=len(state.finished),
+            rows=len(rows.parts),
+            units=len(units),
+            placed=sum(unit.run > 0 for unit in units),
+            done=sum(unit.done for unit in units),
+        )
+
     async def _follow_agents(self) -> None:
         """Maintain a link to each agent of the pool."""
         while True:
--- a/hickorywing/pooljobs.py
+++ b/hickorywing/pooljobs.py
@@ -66,7 +66,7 @@
         self.live: dict[str, JobState] = {}
         self.members = OpenMembers()
         self._pool = pool
-        self._keep_ended_s = keep_ended_s
+        self.keep_ended_s = keep_ended_s
         self._committer = committer
         self._health = health
         self._schedule_plan = schedule_plan
@@ -168,7 +168,7 @@
             is_stored = not self._committer.is_writing(
                 progress_key(self._pool, job_id)
             )
-            if is_stored and now - since_s >= self._keep_ended_s:
+            if is_stored and now - since_s >= self.keep_ended_s:
                 ended.append(job_id)
         for job_id in ended:
             self._delete(job_id)
@@ -287,42 +287,62 @@
         task = parse_task(name)
         return None if task is None else self.accepted.get(task.job_id)
 
-    def mark_done(self, name: str, run: int) -> bool:
-        """Mark a task as done because a run that was given up completed it.
+    def get_known_run(self, name: str) -> int:
+        """Return the last run of a task that is known, 0 if there is none."""
+        task = parse_task(name)
+        state = None if task is None else self.accepted.get(task.job_id)
+        unit = None if state is None else state.find_unit(task)
+        return 0 if unit is None else unit.run
+
+    def find_listed_unit(self, name: str) -> tuple[JobState, Unit] | None:
+        """Return the unit of a task that a worker lists, with its job.
 
-        Returns whether this changes anything. If a later run has replaced it,
-        that later run is stopped. Long-running steps have no end and are not
-        marked.
+        The result is ``None`` if nothing of the task may start any more.
         """
         task = parse_task(name)
         state = None if task is None else self.live.get(task.job_id)
-        unit = None if state is None else state.find_unit(task)
-        if unit is None or unit.done or state.final or run > unit.run:
+        if state is None or state.final:
+            return None
+        unit = state.find_or_open_unit(task, now_s())
+        return None if unit is None or unit.done else (state, unit)
+
+    def adopt_end(self, name: str, run: int, how: str) -> bool:
+        """Take over the end of a run that isn't the present one of its task.
+
+        That run was given up, or its row is lost. Returns whether the end
+        changes anything. If a task is done although a later run has replaced
+        the listed one, that later run is stopped.
+        """
+        found = self.find_listed_unit(name)
+        if found is None:
             return False
+        state, unit = found
+        adopted = unit.learn_run(run, now_s())
+        if how == Ending.DONE:
+            adopted = self._mark_done(state, unit, run) or adopted
+        elif how == Ending.FAILED:
+            adopted = self._count_late_failure(unit, run) or adopted
+        if adopted:
+            self._update_status(state)
+        return adopted
+
+    def _mark_done(self, state: JobState, unit: Unit, run: int) -> bool:
+        """Mark a unit as done; return ``False`` if its step has no end."""
         if state.job.steps[unit.step].lasting:
             return False
         unit.mark_done()
         if unit.running:
             unit.stopping = unit.stopping or f"run {run} is done"
-        self._update_status(state)
         return True
 
-    def count_late_failure(self, name: str, run: int) -> bool:
-        """Count the failure of a run that was given up as an attempt.
+    def _count_late_failure(self, unit: Unit, run: int) -> bool:
+        """Count the failure of a run as an attempt; return if it is new.
 
-        Returns whether this changes anything. A worker may report an end again
-        after an earlier controller has counted and stored the failure, so only
-        runs that this controller has given up are counted.
+        A worker may report an end again after an earlier controller has
+        counted and stored the failure, so only runs that this controller has
+        given up are counted.
         """
-        task = parse_task(name)
-        state = None if task is None else self.live.get(task.job_id)
-        unit = None if state is None else state.find_unit(task)
-        if unit is None or unit.done or state.final:
-            return False
-        if run not in unit.given_up_runs or not unit.count_failure(run):
-            return False
-        self._update_status(state)
-        return True
+        return run in unit.given_up_runs and unit.count_failure(run)
 
     def record_crash(self, worker: str) -> None:
         """Record that a worker crashed, for each task that ran there.
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -87,9 +87,11 @@
             return
         if self._workers.get(report.worker) is not link:
             self._add_worker(link, report)
+        known = self._known[report.worker]
+        known.record_lapse(report, self._jobs.keep_ended_s)
         for end in report.ended:
             self._handle_end(link, report, end)
-        if self._known[report.worker].record_poll(report):
+        if known.record_poll(report):
             self._compare_runs(link, report)
             self._settle_unlisted_ends(report)
         if report.draining:
@@ -277,21 +279,26 @@
     ) -> None:
         """Handle the end of a run that is not open on its worker.
 
-        It is acknowledged only after the job is stored: the run may belong to
+        An end that the worker may have listed for an earlier job of the same
+        name changes nothing (see ``docs/design/lost-rows.md``). Any end is
+        acknowledged only after the job is stored: the run may belong to
         a gang that the end of another member has just closed, and that end may
         not be stored yet.
         """
-        adopted = False
-        if end.how == Ending.DONE:
-            adopted = self._jobs.mark_done(end.task, end.run)
-        elif end.how == Ending.FAILED:
-            adopted = self._jobs.count_late_failure(end.task, end.run)
+        has_lapsed = self._known[worker].has_lapsed
+        known_run = self._jobs.get_known_run(end.task)
+        adopted = not has_lapsed and self._jobs.adopt_end(
+            end.task, end.run, end.how
+        )
         self._jobs.settle_end(end.task, end.run, worker)
         self._log.write(
             LogEvent.END_OF_ANOTHER_RUN,
             task=end.task,
             run=end.run,
+            worker=worker,
             how=end.how,
+            known_run=known_run,
+            lapsed=has_lapsed,
             adopted=adopted,
         )
         state = self._jobs.find_job(end.task)
