Adopt a run that a worker lists and no row knows

Cause: a listed run was compared with open members only; nothing told the unit that it was running. Found on the path of the ends without a row, not seen by callers.

A run that is newer than the known one is now adopted as the present run and goes on; of a gang, the listed members are stopped first, as the others may be unknown. Runs that were given up, and those of tasks that have another run, are stopped as before.

Measured: test_lostrows::TestRunningWithoutRow, 5 cases; the two that adopt fail before.

--- a/hickorywing/logevents.py
+++ b/hickorywing/logevents.py
@@ -121,7 +121,7 @@
 
     # A run is placed, stopped or ends. "run moved": it is stopped because its
     # worker leaves; "stray run": a worker lists a run that isn't the present
-    # one of its task.
+    # one of its task; "run adopted": it lists one that no row knows.
     PLANNING_HELD = "planning held"
     PLANNING_RESUMED = "planning resumed"
     PLAN_FAILED = "plan failed"
@@ -138,5 +138,6 @@
     TASK_GIVEN_UP = "task given up"
     ENDING_NOT_KNOWN = "ending not known"
     END_OF_ANOTHER_RUN = "end of another run"
+    RUN_ADOPTED = "run adopted"
     STRAY_RUN = "stray run"
     STRAY_RUN_STOPPED = "stray run stopped"
--- a/hickorywing/openmembers.py
+++ b/hickorywing/openmembers.py
@@ -50,6 +50,9 @@
         """Add the open members of a unit's current run."""
         for member in unit.open_members():
             task = format_task(unit.task(member))
+            known = self._by_task.get(task)
+            if known is not None and known.member is member:
+                continue
             item = OpenMember(state, unit, member, task)
             self._by_task[task] = item
             self._by_worker.setdefault(member.worker, {})[task] = item
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -294,6 +294,17 @@
         self.mark_changed()
         return True
 
+    def adopt_member(self, index: int, worker: str) -> None:
+        """Add a member of the present run that its worker says is running.
+
+        The other members of a gang may not be known, so the run is stopped.
+        """
+        self.members.append(Member(index, worker, tries=1, seen=True))
+        self.committed = True
+        if self.count > 1:
+            self.stopping = self.stopping or "its placement is not known"
+        self.mark_changed()
+
     def record_save(self, saved: str) -> bool:
         """Record a checkpoint; return whether it is new."""
         if not saved or saved == self.saved:
--- a/hickorywing/pooljobs.py
+++ b/hickorywing/pooljobs.py
@@ -326,6 +326,30 @@
             self._update_status(state)
         return adopted
 
+    def adopt_run(self, name: str, run: int, worker: str) -> bool:
+        """Take over a run that a worker lists as running and no row knows.
+
+        Returns ``False`` if it must be stopped: it was given up, its task has
+        another run, or needs none.
+        """
+        found = self.find_listed_unit(name)
+        if found is None:
+            return False
+        state, unit = found
+        index = parse_task(name).index
+        is_new = unit.learn_run(run, now_s())
+        if unit.run != run or (unit.running and unit.find(index) is not None):
+            return False
+        if not is_new and not unit.running:
+            return False
+        unit.adopt_member(index, worker)
+        self.members.add(state, unit)
+        self._log.write(
+            LogEvent.RUN_ADOPTED, task=name, run=run, worker=worker
+        )
+        self._update_status(state)
+        return True
+
     def _mark_done(self, state: JobState, unit: Unit, run: int) -> bool:
         """Mark a unit as done; return ``False`` if its step has no end."""
         if state.job.steps[unit.step].lasting:
--- a/tests/test_lostrows.py
+++ b/tests/test_lostrows.py
@@ -1,5 +1,7 @@
 """Test what a controller learns from workers that the rows have lost."""
 
+import asyncio
+
 from poolhelpers import make_job
 import pytest
 from test_runcontrol import Control
@@ -7,9 +9,11 @@
 
 from hickorywing.clock import now_s
 from hickorywing.orders import EndedRun
+from hickorywing.orders import RunningRun
 from hickorywing.orders import WorkerReport
 from hickorywing.policy.poolmodel import PoolJob
 from hickorywing.policy.poolmodel import Step
+from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.policy.poolruns import Unit
@@ -124,6 +128,85 @@
             assert state.status is JobStatus.CANCELLED
 
 
+class TestRunningWithoutRow:
+    """A run that a worker lists is known, although no row tells of it.
+
+    Guards against a task that is started while an earlier run of it, whose
+    row was lost, is still running elsewhere.
+    """
+
+    async def report(
+        self, control: LostRows, worker: str, *tasks: str, run: int = 3
+    ) -> FakeLink:
+        link = FakeLink(worker)
+        link.now_ms = 100
+        control.runs.reports.handle_report(
+            link,
+            WorkerReport(
+                worker=worker,
+                zone="z",
+                clock_ms=100,
+                looked_ms=100,
+                running=tuple(RunningRun(task, run) for task in tasks),
+            ),
+        )
+        await asyncio.sleep(0.05)
+        return link
+
+    async def test_single_task_goes_on(self):
+        async with LostRows() as control:
+            state = control.restore(Step(count=2))
+            link = await self.report(control, "vm/i-1@1", "j1.0.0.1")
+            ready = [unit.first for unit in state.list_ready_units()]
+            assert ready == [0]
+            assert link.stops == [] and state.status is JobStatus.ACTIVE
+            again = control.restore_again(state.job)
+            assert [unit.first for unit in again.list_ready_units()] == [0]
+            ends = (EndedRun(1, "j1.0.0.1", 3, "done"),)
+            control.runs.reports.handle_report(
+                link, WorkerReport(worker=link.worker, ended=ends)
+            )
+            await control.wait(lambda: link.acknowledged == 1)
+            assert state.units[(0, 0, 1)].done
+
+    async def test_gang_ends_before_it_is_placed_again(self):
+        async with LostRows() as control:
+            state = control.restore(Step(count=3, gang=True))
+            unit = state.units[UNIT]
+            links = [
+                await self.report(control, f"vm{n}/i@1", f"j1.0.0.{n}")
+                for n in (0, 2)
+            ]
+            assert [link.stops for link in links] == [
+                [("vm0/i@1", "j1.0.0.0", 3)],
+                [("vm2/i@1", "j1.0.0.2", 3)],
+            ]
+            for index, link in zip((0, 2), links, strict=True):
+                assert list(state.list_ready_units()) == []
+                ends = (EndedRun(1, f"j1.0.0.{index}", 3, "stopped"),)
+                control.runs.reports.handle_report(
+                    link, WorkerReport(worker=link.worker, ended=ends)
+                )
+            assert list(state.list_ready_units()) == [unit]
+            assert start_again(control, unit) == 4
+
+    @pytest.mark.parametrize("case", ["placed", "given up", "cancelled"])
+    async def test_is_stopped_if_the_task_needs_no_run(self, case):
+        async with LostRows() as control:
+            state = control.restore()
+            unit = state.units[UNIT]
+            if case == "cancelled":
+                control.runs.jobs.cancel("j1")
+            else:
+                control.runs.jobs.place(unit, ["vm2/i-2@1"])
+            if case == "given up":
+                unit.run = 3
+                unit.end(unit.members[0], Ending.LAPSED)
+            link = await self.report(control, "vm/i-1@1", "j1.0.0.0")
+            assert link.stops == [("vm/i-1@1", "j1.0.0.0", 3)]
+            assert "vm/i-1@1" not in {m.worker for m in unit.members}
+
+
 class TestForgottenJob:
     """An end is not that of an earlier job of the same name.
 
