Delete the rows of wide occurrences so that an earlier build can follow

In an upgrade, tasks of a finished occurrence could run again if it had more rows than one transaction deletes (45, that is 5,760 tasks, or as many steps): the new holder is killed between two deletions, and its successor of an earlier build opens the whole occurrence and starts each unit whose row is gone.

Cause: the rows are deleted in several transactions, and what is left of them doesn't say that the units of the others are done.

Some of the rows are now replaced, before the main row, by rows that say of each unit that it is done; the others are deleted after it, and these few together with a later write. Rows keep their form, and both builds join them.

--- a/hickorywing/committer.py
+++ b/hickorywing/committer.py
@@ -37,6 +37,7 @@
 from hickorywing.rows import Rejected
 from hickorywing.rows import RowExpectation
 from hickorywing.rows import RowKey
+from hickorywing.rows import ROWS_PER_COMMIT
 from hickorywing.rows import RowStore
 from hickorywing.rows import RowTransaction
 from hickorywing.rows import RowWrite
@@ -44,9 +45,6 @@
 
 __all__ = ["Committer"]
 
-# One entry of a transaction is the expectation of the epoch, and each row
-# counts as an expectation and a write.
-ROWS_PER_COMMIT = 45
 # What the key and version of a row take in a transaction, at most, in bytes:
 # table, partition and key twice, of which only the key may be long.
 ROW_OVERHEAD_BYTES = 1000
--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -36,6 +36,7 @@
     "compute_time_left_s",
     "format_task",
     "parse_task",
+    "split_into_units",
 ]
 
 
--- a/hickorywing/progressrows.py
+++ b/hickorywing/progressrows.py
@@ -12,6 +12,11 @@
 deleted after the main row has these as finished, and a unit moves to another
 row within one transaction.
 
+Builds before this one open the whole of a finished occurrence if they find any
+row of it. Its rows are therefore deleted together; if they are too many for
+one transaction, a few of them say first that all units are done, and are
+deleted with a later write.
+
 The main row of a large job has another layout, so that controllers of builds
 before this one, which know one row only, leave the job alone.
 """
@@ -32,12 +37,14 @@
 from hickorywing.policy.poolruns import JobState
 from hickorywing.policy.poolruns import JobStatus
 from hickorywing.policy.poolruns import Member
+from hickorywing.policy.poolruns import split_into_units
 from hickorywing.policy.poolruns import UncertainEnd
 from hickorywing.policy.poolruns import Unit
 from hickorywing.poolrows import decode_row
 from hickorywing.poolrows import progress_key
 from hickorywing.poolrows import RowUnreadable
 from hickorywing.rows import RowKey
+from hickorywing.rows import ROWS_PER_COMMIT
 
 __all__ = [
     "ProgressRows",
@@ -167,6 +174,8 @@
         # stays so: a deletion of its second row would come later than the
         # growth of its first.
         self._keys: dict[UnitKey, list[RowKey]] = {}
+        # Rows that say that all units of a finished occurrence are done.
+        self._summaries: list[RowKey] = []
         self._finished_ranges: tuple[int, list[tuple[int, int]]] = (-1, [])
         self._large = known is not None and bool(known.parts)
         if known is not None and self._large:
@@ -255,7 +264,12 @@
             else:
                 begins.add(find_range(key))
         state.unstored.clear()
-        changes: dict[RowKey, bytes | None] = {}
+        changes: dict[RowKey, bytes | None] = dict.fromkeys(self._summaries)
+        for row_key in self._summaries:
+            del self._written[row_key]
+        self._summaries.clear()
+        # The rows of finished occurrences, as they were stored.
+        removed: dict[int, dict[RowKey, bytes]] = {}
         for begin in sorted(begins):
             if state.job.steps[begin[1]].gang:
                 part = gangs[begin[:2] + (0,)].get(begin[2])
@@ -269,12 +283,48 @@
             for row_key in self._keys.get(begin, ()):
                 if row_key not in rows:
                     changes[row_key] = None
-                    del self._written[row_key]
+                    value = self._written.pop(row_key)
+                    if begin[0] in state.finished:
+                        removed.setdefault(begin[0], {})[row_key] = value
             self._keys[begin] = list(rows)
             if not rows:
                 del self._keys[begin]
+        for occurrence, stored in removed.items():
+            if len(stored) > ROWS_PER_COMMIT:
+                changes.update(self._summarize(occurrence, stored, limit))
         return changes
 
+    def _summarize(
+        self, occurrence: int, stored: dict[RowKey, bytes], limit: int
+    ) -> dict[RowKey, bytes]:
+        """Return rows that say that all units of an occurrence are done.
+
+        They replace the first of the stored ones, in order, and each unit of
+        a row that is replaced is in that row or an earlier one.
+        """
+        known = join_parts(stored.values())
+        keys = [
+            (occurrence, number, first)
+            for number, step in enumerate(self._state.job.steps)
+            for first, _ in split_into_units(step)
+        ]
+        runs = [known[key].run if key in known else 1 for key in keys]
+        units = [
+            UnitRow(*key, run, 0, True, "", [])
+            for key, run in zip(keys, runs, strict=True)
+        ]
+        bytes_each = max(len(msgspec.msgpack.encode(unit)) for unit in units)
+        count = max(PART_TASKS, limit // bytes_each)
+        summaries = {
+            key: msgspec.msgpack.encode(units[begin : begin + count])
+            for key, begin in zip(
+                stored, range(0, len(units), count), strict=False
+            )
+        }
+        self._written.update(summaries)
+        self._summaries.extend(summaries)
+        return summaries
+
     def _list_gang_ranges(
         self,
         key: UnitKey,
--- a/hickorywing/rows.py
+++ b/hickorywing/rows.py
@@ -22,6 +22,7 @@
 
 __all__ = [
     "CHECK_AFTER_S",
+    "ROWS_PER_COMMIT",
     "Commit",
     "Committed",
     "FeedPage",
@@ -43,6 +44,9 @@
     "commit_with_retries",
 ]
 
+# One entry of a controller's transaction is the expectation of the epoch, and
+# each row counts as an expectation and a write.
+ROWS_PER_COMMIT = 45
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.4
 # After this many refusals, the store is busy or down for longer than the
--- a/tests/test_interruptedwrites.py
+++ b/tests/test_interruptedwrites.py
@@ -25,11 +25,13 @@
 from hickorywing.poolrows import job_key
 from hickorywing.poolrows import PROGRESS
 from hickorywing.poolrows import progress_key
+from hickorywing.progressrows import join_parts
 from hickorywing.progressrows import ProgressRows
 from hickorywing.progressrows import restore_progress
 from hickorywing.progressrows import StoredProgress
 from hickorywing.rows import Committed
 from hickorywing.rows import RowKey
+from hickorywing.rows import ROWS_PER_COMMIT
 from hickorywing.rows import StoredRow
 from hickorywing.standins.rowstore import StoreFault
 
@@ -163,6 +165,17 @@
     "one occurrence": make_job(steps=(make_step(0, count=2_000),)),
 }
 
+WIDE_JOBS = {
+    "single tasks": make_job(
+        steps=(make_step(0, count=7_000),), occurrences=2, interval_s=1.0
+    ),
+    "many steps": make_job(
+        steps=tuple(make_step(0, count=150) for _ in range(50)),
+        occurrences=2,
+        interval_s=1.0,
+    ),
+}
+
 
 class TestCompletedWork:
     """Completed work is in the store as such after every transaction.
@@ -191,6 +204,45 @@
                 assert list(list_again(job, rows)) == []
                 assert not list_left_over(job, rows)
 
+    @pytest.mark.parametrize("faults", FAULTS)
+    @pytest.mark.parametrize("name", WIDE_JOBS)
+    async def test_rows_of_an_occurrence_in_several_deletions(
+        self, name, faults
+    ):
+        """A build before this one opens the whole of such an occurrence.
+
+        Guards against tasks of wide occurrences that ran again in an upgrade.
+        """
+        job = WIDE_JOBS[name]
+        async with Term() as term:
+            state = term.accept(job)
+            await term.start(state)
+            rows_each = len(term.store.rows) // 2
+            assert rows_each > ROWS_PER_COMMIT
+            del term.history[:]
+            term.store.plan_faults(*FAULTS[faults])
+            for occurrence in (0, 1):
+                for unit in list(state.units.values()):
+                    if unit.occurrence == occurrence:
+                        unit.end(unit.members[0], Ending.DONE)
+                state.update_status()
+                await term.write(state)
+            assert state.final
+            assert len(term.store.rows) < 50
+            every = {
+                (step, first)
+                for step, item in enumerate(job.steps)
+                for first in range(0, 1 if item.gang else item.count)
+            }
+            for rows in term.history:
+                progress = read_progress(rows, job.job_id)
+                found = JobState(job, 1, 0.0)
+                restore_progress(found, progress, 0.0)
+                units = join_parts(progress.parts.values())
+                for occurrence in found.finished:
+                    known = {key[1:] for key in units if key[0] == occurrence}
+                    assert known in (set(), every)
+
     @pytest.mark.parametrize("faults", FAULTS)
     async def test_rows_that_are_split(self, faults):
         """Checkpoints enlarge the rows until some are split."""
