Delete the rows that sum up an occurrence only once they are stored

The committer may encode a job's changes twice before it sends them, when they don't fit beside those of another job. The second time, the rows that say that all units of a wide occurrence are done were taken for stored, and deleted with all others in several transactions, which they are there to make safe.

They are deleted after the callback that says that they are stored.

Measured: the test of wide occurrences now lets another row be written first; test_interruptedwrites passes with it.

--- a/hickorywing/pooljobs.py
+++ b/hickorywing/pooljobs.py
@@ -472,12 +472,18 @@
             if state.final:
                 stored = self._make_stored_callback(state, stored)
         progress = self._progress[job_id]
+
+        def finish() -> None:
+            progress.confirm_stored()
+            if stored is not None:
+                stored()
+
         self._committer.put_rows(
             progress_key(self._pool, job_id),
             lambda: progress.encode_changes(
                 self._committer.clock_s(), self._committer.row_bytes
             ),
-            stored,
+            finish,
             status_rows,
         )
 
--- a/hickorywing/progressrows.py
+++ b/hickorywing/progressrows.py
@@ -174,8 +174,10 @@
         # stays so: a deletion of its second row would come later than the
         # growth of its first.
         self._keys: dict[UnitKey, list[RowKey]] = {}
-        # Rows that say that all units of a finished occurrence are done.
+        # Rows that say that all units of a finished occurrence are done: those
+        # that aren't stored yet, and those that are.
         self._summaries: list[RowKey] = []
+        self._stored_summaries: list[RowKey] = []
         self._finished_ranges: tuple[int, list[tuple[int, int]]] = (-1, [])
         self._large = known is not None and bool(known.parts)
         if known is not None and self._large:
@@ -209,6 +211,11 @@
         """Return the keys of all rows that may be in the store."""
         return [self._key, *(self._written.keys() - {self._key})]
 
+    def confirm_stored(self) -> None:
+        """Record that all changes that were encoded are stored."""
+        self._stored_summaries.extend(self._summaries)
+        self._summaries.clear()
+
     def encode_changes(
         self, store_clock_s: float, row_bytes: int
     ) -> dict[RowKey, bytes | None]:
@@ -264,10 +271,11 @@
             else:
                 begins.add(find_range(key))
         state.unstored.clear()
-        changes: dict[RowKey, bytes | None] = dict.fromkeys(self._summaries)
-        for row_key in self._summaries:
+        changes: dict[RowKey, bytes | None] = {}
+        for row_key in self._stored_summaries:
+            changes[row_key] = None
             del self._written[row_key]
-        self._summaries.clear()
+        self._stored_summaries.clear()
         # The rows of finished occurrences, as they were stored.
         removed: dict[int, dict[RowKey, bytes]] = {}
         for begin in sorted(begins):
--- a/tests/test_interruptedwrites.py
+++ b/tests/test_interruptedwrites.py
@@ -25,6 +25,7 @@
 from hickorywing.poolrows import job_key
 from hickorywing.poolrows import PROGRESS
 from hickorywing.poolrows import progress_key
+from hickorywing.poolrows import status_key
 from hickorywing.progressrows import join_parts
 from hickorywing.progressrows import ProgressRows
 from hickorywing.progressrows import restore_progress
@@ -226,6 +227,9 @@
                     if unit.occurrence == occurrence:
                         unit.end(unit.members[0], Ending.DONE)
                 state.update_status()
+                # The job's changes are encoded twice, as another row is
+                # written first.
+                term.committer.put(status_key("p", "other"), lambda: b"s")
                 await term.write(state)
             assert state.final
             assert len(term.store.rows) < 50
