Acknowledge the end of a job's member once it is stored

If the role passed on meanwhile, the successor found the job as started, and agents that had forgotten the end; the attempt was stopped and the job started again.

An end is acknowledged once the row shows its attempt as neither placed nor started. The successor adopts the attempt, and the agents still report its end.

--- a/hickorywing/zonecontroller.py
+++ b/hickorywing/zonecontroller.py
@@ -408,7 +408,7 @@
         """Return the acknowledgment of a heartbeat.
 
         It renews the members that belong to a present attempt and confirms
-        the ends that were reported. Members of no known gang are stopped.
+        the ends that are stored. Members of no known gang are stopped.
         """
         now = self._now()
         renewed = []
@@ -417,7 +417,8 @@
             gang = self.gangs.get(report.job_id)
             live = report.state in (MemberState.PREPARED, MemberState.RUNNING)
             if not live:
-                ended_reports.append(report)
+                if self._is_end_stored(report):
+                    ended_reports.append(report)
             elif self._should_renew(gang, report):
                 renewed.append(report)
             elif gang is None and self.ready:
@@ -433,6 +434,19 @@
             holds=self.zone_lease.holds(),
         )
 
+    def _is_end_stored(self, report: MemberReport) -> bool:
+        """Return whether an agent may forget the end of a member.
+
+        While the job's row shows the attempt as placed or started, a successor
+        of this controller has to be told the end as well.
+        """
+        row = self.writer.find_row(report.job_id)
+        return (
+            row is None
+            or row.attempt != report.attempt
+            or row.status not in (JobStatus.PLACED, JobStatus.STARTED)
+        )
+
     @staticmethod
     def _should_renew(gang: GangStart | None, report: MemberReport) -> bool:
         """Return whether a reported member may continue to run."""
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -203,3 +203,75 @@
                 assert {run.launch.attempt for run in runs} == {1}
 
         run_virtual(work())
+
+
+class TestEndsInAnOutage:
+    """A job that ended while the table was down isn't run again.
+
+    Guards against ends that agents forgot before they were stored, so that the
+    controller's successor started the job anew.
+    """
+
+    @pytest.mark.parametrize("seed", range(1, 5))
+    def test_controller_is_killed_before_it_stores_them(self, seed):
+        async def work() -> None:
+            async with make_system(seed) as system:
+                await asyncio.sleep(15.0)
+                jobs = [f"north.e{number}" for number in range(3)]
+                for job in jobs:
+                    await system.submit(job, 1, 8)
+                    set_run_time(system, job, 20.0)
+                await wait_for_status(system, jobs, "started")
+                system.table.faults.down = True
+                await asyncio.sleep(30.0)
+                killed = [
+                    name
+                    for name, process in system.processes.items()
+                    if name.startswith("agent-")
+                    and process.daemon.controller.zone_lease.in_role
+                ]
+                assert killed
+                for name in killed:
+                    await system.kill(name)
+                system.table.faults.down = False
+                await restart_killed(system)
+                await wait_for_all(system, RECOVERY_S)
+                check_attempts(system, killed)
+
+        run_virtual(work())
+
+
+def check_attempts(system: ProtocolSystem, killed: list[str]) -> None:
+    """Check that jobs beside no killed agent have run once.
+
+    A restarted agent stops and forgets what it finds on its worker.
+    """
+    attempts: dict[str, list[int]] = {}
+    for run in system.history.runs.values():
+        if run.launch.attempt == 1 and f"agent-{run.worker_id}" not in killed:
+            attempts[run.launch.job_id] = []
+    for run in system.history.runs.values():
+        if run.launch.job_id in attempts:
+            attempts[run.launch.job_id].append(run.launch.attempt)
+    assert attempts
+    assert all(item == [1] for item in attempts.values()), attempts
+
+
+def set_run_time(system: ProtocolSystem, job: str, run_s: float) -> None:
+    """Change the time that a job takes, in its row."""
+    row = system.table.rows[f"job/{job}"]
+    value = dict(row.value, run_s=run_s)
+    system.table.rows[row.key] = type(row)(
+        row.key, value, row.version, row.nonce
+    )
+
+
+async def wait_for_status(
+    system: ProtocolSystem, jobs: list[str], status: str
+) -> None:
+    async with asyncio.timeout(60.0):
+        while True:
+            statuses = await system.read_job_statuses()
+            if {statuses[job] for job in jobs} == {status}:
+                return
+            await asyncio.sleep(0.2)
