Derive the status of a restored job from its units

A large job could stay active for ever although all its tasks were done: its controller was lost after the transactions with the rows of its units and before the one with its main row and status.

Cause: a status is derived when something happens to a unit. The successor restored units that had all ended, so nothing happened any more, and the ends that the workers still listed changed nothing. The same held for an occurrence that was complete but not recorded as finished, and for a job out of attempts.

A job whose units tell more than its status gets its status when it is added.

TestStatusBehind: 4 of 4 cases fail before.

--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -596,6 +596,21 @@
             self.open_occurrence(occurrence, now_s)
         return self.find_unit(task)
 
+    def is_behind(self) -> bool:
+        """Return whether the status lacks what the units already tell.
+
+        The units of a large job are stored before its status.
+        """
+        if self.final:
+            return False
+        self.refresh()
+        index = self._index
+        return (
+            bool(index.completed or index.exhausted)
+            or (index.begun and self.status is JobStatus.PENDING)
+            or self.find_deadly_unit() is not None
+        )
+
     def update_status(self) -> bool:
         """Recompute the status; return whether it has changed."""
         before = self.status
--- a/hickorywing/pooljobs.py
+++ b/hickorywing/pooljobs.py
@@ -107,6 +107,8 @@
                 self._uncertain[unit.key] = unit
         if job.job_id in self._cancels:
             self._cancel(state)
+        if state.is_behind():
+            self._update_status(state)
         if not restored:
             self._log.write(
                 LogEvent.JOB_SEEN,
--- a/tests/test_interruptedwrites.py
+++ b/tests/test_interruptedwrites.py
@@ -19,6 +19,7 @@
 from hickorywing.policy.poolmodel import PoolJob
 from hickorywing.policy.poolruns import Ending
 from hickorywing.policy.poolruns import JobState
+from hickorywing.policy.poolruns import JobStatus
 from hickorywing.policy.poolruns import Unit
 from hickorywing.pooljobs import PoolJobs
 from hickorywing.poolrows import cancel_key
@@ -269,6 +270,42 @@
                 assert {len(u.members) for u in found.units.values()} == {1}
 
 
+class TestStatusBehind:
+    """A successor ends a job whose last rows were stored without its status.
+
+    Guards against jobs that stayed active for ever although all their tasks
+    were done, as their controller was lost before it wrote the main row.
+    """
+
+    @pytest.mark.parametrize("ending", [Ending.DONE, Ending.FAILED])
+    @pytest.mark.parametrize("occurrences", [0, 2])
+    async def test_all_units_have_ended(self, ending, occurrences):
+        fields = {"occurrences": occurrences, "interval_s": 1.0}
+        job = make_job(
+            steps=(make_step(0, count=7_000),),
+            attempts=1,
+            **(fields if occurrences else {}),
+        )
+        async with Term() as term:
+            state = term.accept(job)
+            await term.start(state)
+            last = max(occurrences - 1, 0)
+            for share in (range(last), (last,)):
+                del term.history[:]
+                for unit in list(state.units.values()):
+                    if unit.occurrence in share:
+                        unit.end(unit.members[0], ending)
+                # Stored without the status, as if the rest was never sent.
+                await term.write(state)
+        async with Term() as successor:
+            found = JobState(job, state.accepted, 0.0)
+            known = read_progress(term.history[-1], job.job_id)
+            restore_progress(found, known, 0.0)
+            assert found.status is JobStatus.ACTIVE
+            successor.jobs.add(found, True, known)
+            assert found.final
+
+
 class TestDeletedJobs:
     """A job's rows are deleted so that nothing of it is taken for another."""
 
