Believe no end of a task that a gang doesn't have

A gang's unit is found by its step alone, so a listed end or run with an index beyond the gang's tasks would have been taken for one of its members.

Such names are ignored now, as those of other steps are.

Measured: test_of_a_task_that_does_not_exist also for gangs; the case with the index beyond the count fails before.

--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -254,6 +254,10 @@
                 return member
         return None
 
+    def has_task(self, index: int) -> bool:
+        """Return whether one of the unit's tasks has this index."""
+        return self.first <= index < self.first + self.count
+
     def task(self, member: Member) -> TaskName:
         """Return the name of a member's task."""
         return self.name_task(member.index)
--- a/hickorywing/pooljobs.py
+++ b/hickorywing/pooljobs.py
@@ -306,7 +306,9 @@
         if state is None or state.final:
             return None
         unit = state.find_or_open_unit(task, now_s())
-        return None if unit is None or unit.done else (state, unit)
+        if unit is None or unit.done or not unit.has_task(task.index):
+            return None
+        return state, unit
 
     def adopt_end(self, name: str, run: int, how: str) -> bool:
         """Take over the end of a run that isn't the present one of its task.
--- a/tests/test_lostrows.py
+++ b/tests/test_lostrows.py
@@ -102,15 +102,19 @@
             assert unit.done and unit.stopping
             assert state.status is JobStatus.COMPLETED
 
+    @pytest.mark.parametrize("gang", [False, True])
     @pytest.mark.parametrize(
-        "task", ["j1.4.0.0", "j1.0.1.0", "j1.0.0.1", "j2.0.0.0", "?"]
+        "task", ["j1.4.0.0", "j1.0.1.0", "j1.0.0.2", "j2.0.0.0", "?"]
     )
-    async def test_of_a_task_that_does_not_exist(self, task):
+    async def test_of_a_task_that_does_not_exist(self, task, gang):
         async with LostRows() as control:
-            state = control.restore(occurrences=4, interval_s=1.0)
+            state = control.restore(
+                Step(count=2, gang=gang), occurrences=4, interval_s=1.0
+            )
             link = control.report((task, 1, "done"))
             await control.wait(lambda: link.acknowledged == 1)
-            assert not any(unit.done for unit in state.units.values())
+            assert not any(unit.run for unit in state.units.values())
+            assert not state.finished
 
     async def test_of_a_lasting_step(self):
         async with LostRows() as control:
