Name the last known run of a unit, and say when a listed run is adopted

Reading the change as a newcomer: the highest known run number was computed in two places, and the conditions of adopt_run had to be worked out. No behaviour changes but one log field: "known_run" of an end counts runs that were given up under a higher number, too.

--- a/hickorywing/policy/poolruns.py
+++ b/hickorywing/policy/poolruns.py
@@ -238,6 +238,11 @@
         """Return the key of the unit's step: job, occurrence and step."""
         return (self.job_id, self.occurrence, self.step)
 
+    @property
+    def last_run(self) -> int:
+        """Return the highest number of a run that is known, 0 if none."""
+        return max(self.run, *self.given_up_runs, 0)
+
     @property
     def running(self) -> bool:
         """Return whether any member may be running."""
@@ -268,7 +273,7 @@
 
     def place(self, workers: list[str], now_s: float) -> None:
         """Begin a new run on the given workers, one for each task."""
-        self.run = max(self.run, *self.given_up_runs, 0) + 1
+        self.run = self.last_run + 1
         self.last_members = self.members
         self.members = [
             Member(self.first + offset, worker)
@@ -287,7 +292,7 @@
         Returns whether it is newer than all that are known. Its members are
         unknown, so it counts as given up. A present run goes on.
         """
-        if run <= max(self.run, *self.given_up_runs, 0):
+        if run <= self.last_run:
             return False
         self.given_up_runs.add(run)
         if not self.running:
--- a/hickorywing/pooljobs.py
+++ b/hickorywing/pooljobs.py
@@ -291,10 +291,9 @@
 
     def get_known_run(self, name: str) -> int:
         """Return the last run of a task that is known, 0 if there is none."""
-        task = parse_task(name)
-        state = None if task is None else self.accepted.get(task.job_id)
-        unit = None if state is None else state.find_unit(task)
-        return 0 if unit is None else unit.run
+        state = self.find_job(name)
+        unit = None if state is None else state.find_unit(parse_task(name))
+        return 0 if unit is None else unit.last_run
 
     def find_listed_unit(self, name: str) -> tuple[JobState, Unit] | None:
         """Return the unit of a task that a worker lists, with its job.
@@ -333,8 +332,8 @@
     def adopt_run(self, name: str, run: int, worker: str) -> bool:
         """Take over a run that a worker lists as running and no row knows.
 
-        Returns ``False`` if it must be stopped: it was given up, its task has
-        another run, or needs none.
+        It is newer than all known runs, or a member of the present one whose
+        row is lost. Returns ``False`` for any other, which must be stopped.
         """
         found = self.find_listed_unit(name)
         if found is None:
@@ -342,9 +341,8 @@
         state, unit = found
         index = parse_task(name).index
         is_new = unit.learn_run(run, now_s())
-        if unit.run != run or (unit.running and unit.find(index) is not None):
-            return False
-        if not is_new and not unit.running:
+        is_missing = unit.running and unit.find(index) is None
+        if unit.run != run or not (is_new or is_missing):
             return False
         unit.adopt_member(index, worker)
         self.members.add(state, unit)
--- a/hickorywing/runreports.py
+++ b/hickorywing/runreports.py
@@ -332,10 +332,10 @@
         """Compare the runs that a worker lists with the members on it."""
         listed = {(item.task, item.run) for item in report.running}
         for run in report.running:
-            name = (run.task, run.run, report.worker)
-            item = self._jobs.members.find(*name)
-            if item is None and self._jobs.adopt_run(*name):
-                item = self._jobs.members.find(*name)
+            listed_run = (run.task, run.run, report.worker)
+            item = self._jobs.members.find(*listed_run)
+            if item is None and self._jobs.adopt_run(*listed_run):
+                item = self._jobs.members.find(*listed_run)
             if item is None:
                 self._orders.stop_stray(link, report.worker, run)
             else:
