Count all that a client makes a process hold, in one sum

Callers saw: an entry or an agent ended for want of memory in a crowd that exceeded no limit. On 40 answered requests with 3.9 MB of body, or 130 with a head of tiny headers, answered, refused or incomplete, took each listener of both forms beyond its VM, and a planned stop in such a crowd began at 1,364 MB.

Cause: a connection referred to its last request (scope, cycle, body, headers, a part of a head in the parser) until the next one or its end, while the listener had subtracted it when its answer or refusal was sent. A request that ran on without its caller wasn't counted, nor answers below 64 kB that nobody read, nor what the kernel keeps. Each listener had a sum of its own.

Change: an exchange owns a request and is what is counted, until its handler has ended; a refusal drops what was read with the parser. One ClientMemory serves all listeners of a process, and policy/clientroom decides who gives way: the largest, of equal ones the oldest, and connections without an answer for longest. All that the network doesn't take counts as unread, with full buffers of the kernel, which are bounded now. Connections beyond the limit are closed at once but for 32.

--- a/hickorywing/clientlimits.py
+++ b/hickorywing/clientlimits.py
@@ -25,11 +25,11 @@
     ``head_bytes`` bounds what comes before a body, with empty lines before the
     request, and what comes between and after the chunks of a body.
     ``body_bytes`` bounds the body of one request. ``pending_bytes`` bounds
-    what all connections together hold for requests that aren't answered and
-    answers that aren't read. ``requests_ahead`` is the number of requests of
-    one connection that are read while an earlier one is unanswered, and
-    ``connections`` the number of connections. A connection is closed
-    ``idle_s`` after its last request, if a request takes longer than
+    what all connections of a process together hold for requests that aren't
+    answered and answers that aren't read. ``requests_ahead`` is the number of
+    requests of one connection that are read while an earlier one is
+    unanswered, and ``connections`` the number of connections. A connection is
+    closed ``idle_s`` after its last request, if a request takes longer than
     ``request_s`` to arrive, or if an answer stays unread for ``answer_s``.
     """
 
--- a/hickorywing/listeners.py
+++ b/hickorywing/listeners.py
@@ -15,6 +15,9 @@
 __all__ = ["open_early", "open_listener"]
 
 BACKLOG = 512
+# What the kernel keeps of a connection, in each direction, is memory of the VM
+# too. It takes up to twice as much, and by default it grows to megabytes.
+BUFFER_BYTES = 32 << 10
 ADDRESS_SETTINGS = ("listen", "ready", "link")
 
 _early_listeners: dict[str, socket.socket] = {}
@@ -30,6 +33,9 @@
         socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
     )
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Connections inherit them.
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        listener.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
     listener.bind(split_address(address))
     listener.listen(BACKLOG)
     return listener
--- a/hickorywing/poolagent.py
+++ b/hickorywing/poolagent.py
@@ -207,18 +207,21 @@
         order_api.install(order_app)
         serve_metrics(order_app, self._metrics)
         limits = settings.clients.make_internal_limits()
+        memory = settings.clients.make_memory()
         servers = [
             WebServer(
                 worker_app,
                 settings.listen,
                 limits,
                 report_clients("listen", self._metrics, self._log),
+                memory=memory,
             ),
             WebServer(
                 order_app,
                 settings.link,
                 limits,
                 report_clients("link", self._metrics, self._log),
+                memory=memory,
             ),
         ]
         for server in servers:
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -74,6 +74,7 @@
         self._path = path
         self._metrics = Metrics(settings.name)
         self._log = DecisionLog(settings.name, "entry", self._metrics)
+        self._client_memory = settings.clients.make_memory()
         self._view = ConfigurationView()
         self._stopping = False
         self._controllers: dict[
@@ -117,6 +118,7 @@
             settings.clients.make_limits(),
             report_clients("listen", self._metrics, self._log),
             self._view.find_request_limits,
+            memory=self._client_memory,
         )
         internal_servers = [
             self._make_internal_server(
@@ -165,7 +167,9 @@
         """Return the server of a listener that isn't for callers."""
         limits = self._settings.clients.make_internal_limits()
         report = report_clients(name, self._metrics, self._log)
-        return WebServer(app, address, limits, report)
+        return WebServer(
+            app, address, limits, report, memory=self._client_memory
+        )
 
     def _make_ready_app(self) -> Application:
         app = make_app()
--- a/hickorywing/settings.py
+++ b/hickorywing/settings.py
@@ -10,6 +10,7 @@
 from hickorywing.addresses import check_address
 from hickorywing.clientlimits import ClientLimits
 from hickorywing.clientlimits import count_descriptors_for
+from hickorywing.clientmemory import ClientMemory
 from hickorywing.documents import load_document
 from hickorywing.documents import Model
 from hickorywing.documents import ModelT
@@ -62,6 +63,10 @@
     request_s: float = Field(default=DEFAULT_LIMITS.request_s, gt=0)
     answer_s: float = Field(default=DEFAULT_LIMITS.answer_s, gt=0)
 
+    def make_memory(self) -> ClientMemory:
+        """Return the memory that all listeners of the process share."""
+        return ClientMemory(self.pending_bytes)
+
     def make_limits(self) -> ClientLimits:
         """Return the limits of the listener for callers."""
         return self._make_limits(self.connections, CALLER_SHARE)
--- a/hickorywing/web.py
+++ b/hickorywing/web.py
@@ -24,6 +24,7 @@
 from hickorywing.addresses import split_address
 from hickorywing.clientlimits import ClientLimits
 from hickorywing.clientlimits import RequestLimits
+from hickorywing.clientmemory import ClientMemory
 from hickorywing.decisions import DecisionLog
 from hickorywing.decoding import DecodingError
 from hickorywing.listeners import open_listener
@@ -197,7 +198,8 @@
 
     ``report`` is called with the reason whenever a client is refused for
     exceeding ``limits``. ``find_configured`` returns the limits in force by
-    the configuration, which raise those.
+    the configuration, which raise those. ``memory`` counts what the clients of
+    all listeners of the process hold; by default this is the only listener.
     """
 
     def __init__(
@@ -207,14 +209,19 @@
         limits: ClientLimits | None = None,
         report: Callable[[str], None] = lambda reason: None,
         find_configured: Callable[[], RequestLimits | None] = lambda: None,
+        memory: ClientMemory | None = None,
     ) -> None:
         self.app = app
         self._socket = open_listener(listen)
         host, _ = split_address(listen)
         self.port = self._socket.getsockname()[1]
         self.address = f"{host}:{self.port}"
+        limits = limits or ClientLimits()
         self.listener = Listener(
-            limits or ClientLimits(), report, find_configured
+            limits,
+            memory or ClientMemory(limits.pending_bytes),
+            report,
+            find_configured,
         )
         config = uvicorn.Config(
             app,
--- a/hickorywing/webconnection.py
+++ b/hickorywing/webconnection.py
@@ -3,12 +3,11 @@
 The parser keeps whatever a client sends until a line or a head ends, and
 uvicorn starts a request once its head is complete. Here what is kept is
 counted, and a request starts once all of it has arrived. A request that
-exceeds a limit is refused and has then not run.
+exceeds a limit is refused and has then not run. What belongs to a request is
+dropped as a whole once it is refused or its handler has ended.
 """
 
 import asyncio
-from collections import OrderedDict
-from collections.abc import Callable
 import http
 from typing import Any
 import urllib.parse
@@ -17,19 +16,23 @@
 import msgspec
 from uvicorn.protocols.http.flow_control import service_unavailable
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
-from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
-from hickorywing.clientlimits import ClientLimits
-from hickorywing.clientlimits import RequestLimits
+from hickorywing.clientmemory import measure_body
+from hickorywing.clientmemory import measure_head
+from hickorywing.clientmemory import REQUEST_BYTES
+from hickorywing.listeners import BUFFER_BYTES
+from hickorywing.policy.clientroom import HeldMemory
+from hickorywing.webexchange import Exchange
+from hickorywing.webexchange import ExchangeOwner
+from hickorywing.weblistener import Listener
 
 __all__ = ["Connection", "Listener"]
 
 # The parser is fed at most this much at a time, so that few requests are read
 # beyond those that may wait.
 PIECE_BYTES = 4096
-# Memory of a request beside its bytes, and of each of its headers.
-REQUEST_BYTES = 4096
-HEADER_BYTES = 200
+# What full buffers of the kernel take, in one direction.
+KERNEL_BYTES = 2 * BUFFER_BYTES
 # What a refused client may still send. Closing the connection at once would
 # reset it, and the client might not see the refusal.
 DISCARDED_BYTES = 1 << 20
@@ -61,103 +64,12 @@
     return "\r\n".join([*lines, "", ""]).encode("ascii") + body
 
 
-class Listener:
-    """What the connections of one listener share.
-
-    ``report`` is called with the reason whenever a client is refused or its
-    connection closed. ``find_configured`` returns the limits of the
-    configuration, which raise those of the settings.
-    """
-
-    def __init__(
-        self,
-        limits: ClientLimits,
-        report: Callable[[str], None],
-        find_configured: Callable[[], RequestLimits | None],
-    ) -> None:
-        self.limits = limits
-        self.report = report
-        self.held_bytes = 0
-        self._find_configured = find_configured
-        # The connections, that with the oldest request first.
-        self._connections: OrderedDict[Connection, None] = OrderedDict()
-
-    def is_head_too_large(self, size: int) -> bool:
-        """Return whether that many bytes exceed the limit of a head."""
-        if size <= self.limits.head_bytes:
-            return False
-        configured = self._find_configured()
-        return configured is None or size > configured.header_bytes
-
-    def is_body_too_large(self, size: int) -> bool:
-        """Return whether that many bytes exceed the limit of a body."""
-        if size <= self.limits.body_bytes:
-            return False
-        configured = self._find_configured()
-        return configured is None or size > configured.body_bytes
-
-    def add(self, connection: "Connection") -> bool:
-        """Add a connection, or return that there is no room for it.
-
-        The connection that has been idle for longest makes room.
-        """
-        if len(self._connections) >= self.limits.connections:
-            idle = next(filter(Connection.is_idle, self._connections), None)
-            if idle is None:
-                return False
-            self.report("too many connections")
-            idle.drop()
-        self._connections[connection] = None
-        return True
-
-    def touch(self, connection: "Connection") -> None:
-        """Record that a connection has received something."""
-        if connection in self._connections:
-            self._connections.move_to_end(connection)
-
-    def remove(self, connection: "Connection") -> None:
-        """Forget a connection and what it holds."""
-        if connection in self._connections:
-            del self._connections[connection]
-            self.held_bytes -= connection.held_bytes
-            connection.held_bytes = 0
-
-    def hold(self, connection: "Connection", change: int) -> None:
-        """Count bytes that a connection holds, or that it has released.
-
-        If that is too much, the connection that holds most of all whose
-        requests don't run yet is refused.
-        """
-        if connection not in self._connections:
-            return
-        self.held_bytes += change
-        connection.held_bytes += change
-        if change > 0 and self.held_bytes > self.limits.pending_bytes:
-            self._make_room(connection)
-
-    def _make_room(self, newest: "Connection") -> None:
-        while self.held_bytes > self.limits.pending_bytes:
-            waiting = filter(Connection.can_make_room, self._connections)
-            largest = max(
-                waiting, key=lambda found: found.held_bytes, default=newest
-            )
-            if largest.held_bytes == self.held_bytes:
-                return  # A single request is within the limits.
-            held_before = self.held_bytes
-            largest.make_room()
-            if largest is newest or self.held_bytes >= held_before:
-                return
-
-    def sweep(self, now_s: float) -> None:
-        """Close the connections that have used up their time."""
-        for connection in list(self._connections):
-            connection.check_time(now_s)
-
-
-class Connection(HttpToolsProtocol):
+class Connection(HttpToolsProtocol, ExchangeOwner):
     """One connection of a client.
 
-    ``held_bytes`` is what it holds in memory for requests and answers.
+    What it holds is counted in the memory of its listener: the request that is
+    being read, those that wait behind one that runs, and the answers that the
+    client doesn't read. An ``Exchange`` counts the request that runs.
     """
 
     def __init__(
@@ -170,9 +82,10 @@
         listener: Listener,
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
-        self.held_bytes = 0
         self._listener = listener
-        self._running: RequestResponseCycle | None = None
+        self._memory = listener.memory
+        self._is_listed = False
+        self._running: Exchange | None = None
         # Received while enough requests wait; reading is paused meanwhile.
         self._unparsed = b""
         self._paused = False
@@ -183,15 +96,17 @@
         # The request that is being read.
         self._in_body = False
         self._outside_bytes = 0
-        self._reading_bytes = 0
         self._head_cost = 0
         self._declared_bytes = 0
         self._body: bytes | bytearray = b""
         self._keep_alive = True
         self._began_s: float | None = None
+        # What is counted beside the request that runs.
+        self._reading_bytes = 0
+        self._waiting_bytes = 0
+        self._unread_bytes = 0
         self._active_s = self.loop.time()
         self._unread_since_s: float | None = None
-        self._unread_bytes = 0
         self._closing = False
 
     # Connections
@@ -199,45 +114,92 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Serve a new connection, or refuse it if there are too many."""
         super().connection_made(transport)
-        if not self._listener.add(self):
-            self._refuse(503, "too many connections")
-            # The sweep doesn't see this connection.
-            self.loop.call_later(DISCARD_S, self.transport.abort)
+        # All that the network doesn't take at once counts as unread.
+        transport.set_write_buffer_limits(high=0)
+        self._is_listed = self._listener.add(self)
+        if self._is_listed:
+            return
+        if not self._listener.add_refused():
+            self._listener.report("too many connections")
+            self._ended = True
+            transport.abort()
+            return
+        self._refuse(503, "too many connections")
+        # The sweep doesn't see this connection.
+        self.loop.call_later(DISCARD_S, self._end_refused)
+
+    def _end_refused(self) -> None:
+        self._listener.remove_refused()
+        self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what the connection holds; nothing more of it runs."""
-        self._ended = True
-        self._listener.remove(self)
-        self._unparsed = b""
-        self._body = b""
-        self.pipeline.clear()
+        self._leave()
         if self._running is not None:
             self._running.disconnected = True
             self._running.message_event.set()
+        self.cycle = None
         super().connection_lost(exc)
 
+    def _leave(self) -> None:
+        """Stop to read, and drop all but the request that runs."""
+        self._ended = True
+        self._listener.remove(self)
+        self.pipeline.clear()
+        self._memory.hold(-self._unread_bytes)
+        self._unread_bytes = 0
+        self._unparsed = b""
+        self._paused = False
+        self._drop_request()
+
+    def _drop_request(self) -> None:
+        """Drop the request that is being read, and count anew."""
+        self._body = b""
+        self._in_body = False
+        self._outside_bytes = 0
+        self.url = b""
+        self.headers = []
+        self.scope = None
+        self._count()
+
     def is_idle(self) -> bool:
         """Return whether nothing is lost if the connection is closed."""
         return self._running is None
 
     def drop(self) -> None:
         """Close the connection without an answer."""
-        self._ended = True
-        self._listener.remove(self)
+        self._leave()
         self.transport.abort()
 
-    def can_make_room(self) -> bool:
-        """Return whether bytes are held for no request that runs."""
-        unread = self._unread_since_s is not None
-        if unread or self._refusal:
-            return unread
-        return self._running is None and self.held_bytes > 0
+    def count_held_bytes(self) -> int:
+        """Return what the connection holds, with the request that runs."""
+        running = 0 if self._running is None else self._running.held_bytes
+        return self._sum_releasable() + running
+
+    def _sum_releasable(self) -> int:
+        return self._reading_bytes + self._waiting_bytes + self._unread_bytes
+
+    def describe_held(self) -> HeldMemory:
+        """Return what the connection would release."""
+        since_s = self._active_s
+        if self._unread_since_s is not None:
+            since_s = self._unread_since_s
+        elif self._began_s is not None:
+            since_s = self._began_s
+        return HeldMemory(self._sum_releasable(), since_s)
 
     def make_room(self) -> None:
-        """Release what is held, as other connections need it."""
+        """Release what is held, as other connections need it.
+
+        Requests that wait haven't run. The first of them gets the refusal.
+        """
         if self._unread_since_s is not None:
             self._listener.report("answers unread")
             self.drop()
+            return
+        self.pipeline.clear()
+        if self._refusal:
+            self._count()
         else:
             self._refuse(503, "too many bytes pending")
 
@@ -266,7 +228,8 @@
             self._close_in_time()
             return
         if not self._unparsed and self._began_s is None:
-            self.cycle.keep_alive = False
+            last = self.pipeline[0][0] if self.pipeline else self._running
+            last.keep_alive = False
         self.loop.call_later(CLOSING_S, self._close_unfinished)
 
     def _close_in_time(self) -> None:
@@ -289,12 +252,11 @@
             self._discard(len(data))
             return
         self._active_s = self.loop.time()
-        self._listener.touch(self)
         if self._unparsed:
             self._unparsed += data
         else:
             self._parse(data)
-        self._count_unfinished()
+        self._count()
 
     def _discard(self, size: int) -> None:
         if self._discarded is not None:
@@ -303,6 +265,7 @@
                 self.drop()
         elif not self.transport.is_closing():
             self._pause()
+            self._count()
 
     def _parse(self, data: bytes) -> None:
         """Parse until enough requests wait; keep the rest."""
@@ -328,26 +291,38 @@
                 and not self._ended
             ):
                 self._refuse(431, "head or trailers too large")
-
-    def _count_unfinished(self) -> None:
-        """Count what is held for a request of which a part has arrived."""
-        held = len(self._unparsed)
         if self._ended:
-            held = 0
-        elif self._in_body:
-            held += self._head_cost + len(self._body)
+            # It keeps the part of a head that it has read.
+            self.parser = None
+
+    def _count(self) -> None:
+        """Count what is held beside the request that runs."""
+        before = self._sum_releasable()
+        reading = len(self._unparsed)
+        if self._in_body:
+            reading += self._head_cost + measure_body(len(self._body))
         elif self._outside_bytes:
-            held += self._outside_bytes
-            if self.headers:
-                held += HEADER_BYTES * len(self.headers)
-        if held == 0:
+            reading += self._measure_head()
+        if reading == 0:
             self._began_s = None
         elif self._began_s is None:
             self._began_s = self._active_s
-        if held != self._reading_bytes:
-            change = held - self._reading_bytes
-            self._reading_bytes = held
-            self._listener.hold(self, change)
+        if self._paused:
+            # The client may go on to send until the buffers are full.
+            reading += KERNEL_BYTES
+        self._reading_bytes = reading
+        self._waiting_bytes = sum(item.held_bytes for item, _ in self.pipeline)
+        change = self._sum_releasable() - before
+        if change:
+            self._memory.hold(change, self)
+
+    def _measure_head(self) -> int:
+        """Return what the request that is being read takes, so far."""
+        if self.scope is None:
+            return self._outside_bytes
+        return REQUEST_BYTES + measure_head(
+            self._outside_bytes, len(self.headers), len(self.url)
+        )
 
     def _pause(self) -> None:
         self._paused = True
@@ -357,6 +332,7 @@
         if self._paused:
             self._paused = False
             self.transport.resume_reading()
+            self._count()
 
     def _go_on(self) -> None:
         """Parse what was kept while enough requests waited."""
@@ -366,15 +342,22 @@
         self._parse(data)
         if not self._unparsed and not self._ended:
             self._resume()
-        self._count_unfinished()
+        self._count()
 
     # Callbacks of the parser
 
     def on_message_begin(self) -> None:
         """Start to read a request."""
+        if self._ended:
+            return
         super().on_message_begin()
         self._declared_bytes = 0
 
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the path."""
+        if not self._ended:
+            super().on_url(url)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; trailers are dropped."""
         if self._in_body or self._ended:
@@ -402,13 +385,9 @@
         scope["raw_path"] = url.path
         scope["query_string"] = url.query or b""
         self._keep_alive = version != "1.0" and self.parser.should_keep_alive()
+        self._head_cost = self._measure_head()
         self._in_body = True
         self._body = b""
-        self._head_cost = (
-            REQUEST_BYTES
-            + self._outside_bytes
-            + HEADER_BYTES * len(self.headers)
-        )
         self._outside_bytes = 0
         if self._listener.is_body_too_large(self._declared_bytes):
             self._refuse(413, "body too large")
@@ -433,7 +412,10 @@
         """Run a request, or queue it behind an earlier one."""
         if self._ended:
             return
-        cycle = RequestResponseCycle(
+        exchange = Exchange(
+            self._memory,
+            self._head_cost + measure_body(len(self._body)),
+            self,
             scope=self.scope,
             transport=self.transport,
             flow=self.flow,
@@ -444,56 +426,61 @@
             message_event=asyncio.Event(),
             expect_100_continue=False,
             keep_alive=self._keep_alive and not self._closing,
-            on_response=self.on_response_complete,
         )
-        cycle.body = self._body
-        cycle.more_body = False
-        cycle.message_event.set()
-        cycle.held_bytes = self._head_cost + len(self._body)
-        self.cycle = cycle
-        self._body = b""
-        self._in_body = False
-        self._outside_bytes = 0
-        self._ended = not cycle.keep_alive
-        # What was read of the request is counted with the cycle from here on.
-        self._count_unfinished()
-        self._listener.hold(self, cycle.held_bytes)
-        if self._refusal or self.transport.is_closing():
-            self._listener.hold(self, -cycle.held_bytes)
-            return
+        exchange.body = self._body
+        exchange.more_body = False
+        exchange.message_event.set()
         app = self.app
         if len(self.tasks) >= self.limit_concurrency:
             self._listener.report("too many requests")
             app = service_unavailable
-        if self._running is None:
-            self._run(cycle, app)
-        else:
-            self.pipeline.appendleft((cycle, app))
-
-    def _run(self, cycle: RequestResponseCycle, app: Any) -> None:
-        self._running = cycle
-        self._start_asgi_task(cycle, app)
+        self._ended = not exchange.keep_alive
+        self.pipeline.appendleft((exchange, app))
+        # From here on the exchange counts what was read of the request. To
+        # make room for it, it may be refused.
+        self._drop_request()
+        self._run_next()
+
+    def _run_next(self) -> None:
+        """Run the next request, unless an answer is still under way."""
+        if (
+            self.pipeline
+            and self._running is None
+            and self._unread_since_s is None
+            and not self.transport.is_closing()
+        ):
+            exchange, app = self.pipeline.pop()
+            self._waiting_bytes -= exchange.held_bytes
+            self._running = exchange
+            self._start_asgi_task(exchange, app)
 
     # Answers
 
-    def on_response_complete(self) -> None:
+    def end_exchange(self) -> None:
         """Run the next request that has arrived, and read on."""
         self.server_state.total_requests += 1
-        self._listener.hold(self, -self._running.held_bytes)
         self._running = None
-        if self.transport.is_closing():
-            return
+        self._listener.note_served(self)
         self._active_s = self.loop.time()
-        if self.pipeline:
-            self._run(*self.pipeline.pop())
-        elif self._refusal:
+        self._advance()
+
+    def _advance(self) -> None:
+        """Go on after an answer that the client has taken."""
+        if self.transport.is_closing() or self._unread_since_s is not None:
+            return
+        self._run_next()
+        if self._running is not None:
+            if self._unparsed and not self._ended:
+                self._go_on()
+            return
+        if self._refusal:
             self._send_refusal()
             return
         if self._unparsed and not self._ended:
             self._go_on()
-        if self._running is not None:
+        if self._running is not None or self._ended:
             return
-        if self._in_body and self.expect_100_continue and not self._ended:
+        if self._in_body and self.expect_100_continue:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         elif self._closing and self._began_s is None:
             self.transport.close()
@@ -502,15 +489,20 @@
         """Count the answers that the client doesn't read."""
         super().pause_writing()
         self._unread_since_s = self.loop.time()
-        self._unread_bytes = self.transport.get_write_buffer_size()
-        self._listener.hold(self, self._unread_bytes)
+        # The transport may keep an answer of which it has sent a part.
+        sending = 0 if self._running is None else self._running.sending_bytes
+        size = max(self.transport.get_write_buffer_size(), sending)
+        self._unread_bytes = size + KERNEL_BYTES
+        self._memory.hold(self._unread_bytes, self)
 
     def resume_writing(self) -> None:
         """Go on with answers that the client reads again."""
         super().resume_writing()
         self._unread_since_s = None
-        self._listener.hold(self, -self._unread_bytes)
+        self._memory.hold(-self._unread_bytes)
         self._unread_bytes = 0
+        if self._running is None:
+            self._advance()
 
     def _refuse(self, status: int, reason: str) -> None:
         """Refuse the request that is being read, and read no further one.
@@ -524,15 +516,17 @@
         self._refusal = encode_refusal(status, reason)
         self._listener.report(reason)
         self._unparsed = b""
-        self._body = b""
-        self.headers = []
-        self._count_unfinished()
-        if self._running is None:
+        self.parser = None
+        self._drop_request()
+        if self._running is None and not self.pipeline:
             self._send_refusal()
 
     def _send_refusal(self) -> None:
+        if self._discarded is not None:
+            return
         self._discarded = 0
         self._active_s = self.loop.time()
+        self._listener.note_refused(self)
         self.transport.write(self._refusal)
         if self.transport.can_write_eof():
             self.transport.write_eof()
