Refuse dispatches whose ids or deadlines are out of bounds

Callers saw: nothing yet; found in the table of readers. Any client of an agent's listener could make it keep 20,000 ids of up to 4 MB each (a revocation's) and let 64 requests wait without end ("inf").

Cause: an agent remembers the ids of the last dispatches and revocations, and waits for a slot until the deadline that the headers name; none was bounded, and an incarnation that isn't a number raised ValueError (500).

Change: read_terms checks the three headers at the border; ids have up to 200 characters and deadlines are finite and up to 600 s, the largest that an entry may be set to. Others count as dispatches_malformed and have not run.

Evidence: test_dispatch; read_terms is new, so on the code before it can't be collected, and there a revocation with an id of 60,000 characters decodes.

--- a/hickorywing/dispatch.py
+++ b/hickorywing/dispatch.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 import enum
+import math
+from typing import Annotated
 
 from blacksheep import Content
 from blacksheep import Headers
@@ -63,6 +65,11 @@
 )
 HEADER_PREFIX = b"hw-"
 BYTES_TYPE = "application/octet-stream"
+# The ids of the last dispatches are remembered.
+MAX_ID_CHARS = 200
+# A dispatch that waits holds its request.
+MAX_DEADLINE_S = 600.0
+MAX_DIGITS = 20
 # The codec of the HTTP client, with which all bytes pass unchanged.
 HEADER_CODEC = ("utf-8", "surrogateescape")
 
@@ -92,7 +99,7 @@
 class RevokeRequest(msgspec.Struct, frozen=True):
     """A request to an agent to refuse a dispatch for good."""
 
-    dispatch_id: str
+    dispatch_id: Annotated[str, msgspec.Meta(max_length=MAX_ID_CHARS)]
     incarnation: int
 
 
@@ -105,6 +112,33 @@
     run: str
 
 
+@dataclass(frozen=True, slots=True)
+class DispatchTerms:
+    """What the headers of a dispatch say of it; times are in seconds."""
+
+    dispatch_id: str
+    incarnation: int
+    deadline_s: float
+
+
+def read_terms(headers: Headers) -> DispatchTerms | None:
+    """Return what the headers say, ``None`` if they are malformed."""
+    dispatch_id = find_header(headers, DispatchHeader.DISPATCH) or ""
+    incarnation = find_header(headers, DispatchHeader.INCARNATION) or ""
+    deadline = find_header(headers, DispatchHeader.DEADLINE) or ""
+    if not 0 < len(dispatch_id) <= MAX_ID_CHARS:
+        return None
+    if max(len(incarnation), len(deadline)) > MAX_DIGITS:
+        return None
+    try:
+        terms = DispatchTerms(dispatch_id, int(incarnation), float(deadline))
+    except ValueError:
+        return None
+    if not math.isfinite(terms.deadline_s):
+        return None
+    return terms if terms.deadline_s <= MAX_DEADLINE_S else None
+
+
 @dataclass(slots=True)
 class WaitingDispatch:
     """An admitted dispatch that waits for a slot.
@@ -191,17 +225,15 @@
 
     async def serve(self, request: Request) -> Response:
         """Answer one dispatch; every answer tells whether it has run."""
-        dispatch_id = find_header(request.headers, DispatchHeader.DISPATCH)
-        incarnation = find_header(request.headers, DispatchHeader.INCARNATION)
-        deadline_s = find_header(request.headers, DispatchHeader.DEADLINE)
-        if not dispatch_id or not incarnation or not deadline_s:
+        terms = read_terms(request.headers)
+        if terms is None:
             self.metrics.count("dispatches_malformed")
             return self._refuse("malformed dispatch", None)
         refusal = self.get_refusal()
         if refusal or not self._backend_url:
             self.metrics.count("dispatches_refused")
             return self._refuse(refusal or "no backend server", 1.0)
-        admission = self.admissions.admit(dispatch_id, int(incarnation))
+        admission = self.admissions.admit(terms.dispatch_id, terms.incarnation)
         if admission is Admission.DUPLICATE:
             self.metrics.count("dispatches_duplicate")
             return self._answer(
@@ -214,7 +246,7 @@
         self._idle.clear()
         try:
             return await self._serve_admitted(
-                request, dispatch_id, float(deadline_s)
+                request, terms.dispatch_id, terms.deadline_s
             )
         finally:
             self.admissions.finish()
