Bound the answers that a process reads as a client

Callers saw: nothing yet; found in the table of readers. An answer of a back end, an agent, a worker or the store was read whatever its size, and callers who asked for large ones made an entry keep as many as they liked while they were under way.

Change: HttpClient reads at most answer_bytes (8 MiB, a setting; the store's answers have 1 MB). What is read for a caller's request counts in the memory of that request, part by part, and is given up if there is no room. The request has run then, so its outcome is unknown and is not revoked. Counted as answers_too_large.

Evidence: test_httpclient reads 8 MiB and refuses 200 MB and parts without room. AnswerTooLarge is new; before, the body was read without a bound (from the code, not run).

--- a/hickorywing/dispatch.py
+++ b/hickorywing/dispatch.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 import enum
+import functools
 import math
 from typing import Annotated
 
@@ -20,6 +21,7 @@
 from blacksheep import Response
 import msgspec
 
+from hickorywing.httpclient import AnswerTooLarge
 from hickorywing.httpclient import CallError
 from hickorywing.httpclient import CallTimeout
 from hickorywing.httpclient import ConnectError
@@ -33,6 +35,7 @@
 from hickorywing.web import answer_problem
 from hickorywing.web import find_header
 from hickorywing.web import Problem
+from hickorywing.webexchange import reserve_memory
 
 __all__ = [
     "DispatchHeader",
@@ -204,6 +207,7 @@
         clock: Callable[[], float],
         get_refusal: Callable[[], str],
         config_version: Callable[[], int],
+        http: HttpClient | None = None,
     ) -> None:
         self.admissions = admissions
         self.metrics = metrics
@@ -214,7 +218,7 @@
             admissions.slots, admissions.connections - admissions.slots
         )
         self._waiting: dict[str, WaitingDispatch] = {}
-        self._http = HttpClient()
+        self._http = http or HttpClient()
         self._backend_url = ""
         self._idle = asyncio.Event()
         self._idle.set()
@@ -341,7 +345,11 @@
                 body if body or content_type is not None else None,
                 decode_headers(remove_hop_headers(headers)),
                 content_type or BYTES_TYPE,
+                functools.partial(reserve_memory, request.scope),
             )
+        except AnswerTooLarge as error:
+            self.metrics.count("answers_too_large")
+            return self._answer(Response(502), RunState.UNKNOWN, str(error))
         except CallTimeout:
             self.metrics.count("dispatches_timed_out")
             return self._answer(Response(504), RunState.UNKNOWN, "timeout")
--- a/hickorywing/httpclient.py
+++ b/hickorywing/httpclient.py
@@ -7,6 +7,7 @@
 and the body never arrives.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -21,6 +22,7 @@
 from hickorywing.errors import HickorywingError
 
 __all__ = [
+    "AnswerTooLarge",
     "CallError",
     "CallTimeout",
     "ConnectError",
@@ -37,6 +39,8 @@
 KEEPALIVE_PROBES = 2
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 30.0
+# By default the largest answer that is read; the store sends 1 MB at most.
+MAX_ANSWER_BYTES = 8 << 20
 # aiohttp raises ValueError and OverflowError for hosts and ports that can't be
 # used.
 CALL_ERRORS = (
@@ -56,6 +60,10 @@
     """Raised if a call timed out; it may have taken effect."""
 
 
+class AnswerTooLarge(CallError):  # noqa: N818
+    """Raised for an answer that can't be kept; the call took effect."""
+
+
 class ConnectError(CallError):
     """Raised if no connection was made, so that the call was not sent."""
 
@@ -110,10 +118,35 @@
     return CallError(message)
 
 
+async def read_body(
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    reserve: Callable[[int], bool] | None,
+) -> bytes:
+    """Return the body of an answer; raise ``AnswerTooLarge``.
+
+    ``reserve`` is that of ``HttpClient.call``.
+    """
+    parts = []
+    size = 0
+    async for part in response.content.iter_any():
+        size += len(part)
+        if size > max_bytes:
+            raise AnswerTooLarge(f"answer of over {max_bytes} bytes")
+        if reserve is not None and not reserve(len(part)):
+            raise AnswerTooLarge("no room for the answer")
+        parts.append(part)
+    return b"".join(parts)
+
+
 class HttpClient:
-    """A pool of connections, bound to the event loop of the first call."""
+    """A pool of connections, bound to the event loop of the first call.
+
+    Answers of more than ``max_answer_bytes`` are not read.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, max_answer_bytes: int = MAX_ANSWER_BYTES) -> None:
+        self._max_answer_bytes = max_answer_bytes
         self._open_session: aiohttp.ClientSession | None = None
 
     @property
@@ -142,9 +175,13 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | Iterable[tuple[str, str]] = (),
         content_type: str = "application/json",
+        reserve: Callable[[int], bool] | None = None,
     ) -> HttpAnswer:
         """Send one request and return its answer; raise ``CallError``.
 
+        ``reserve`` is called with the size of each part of the answer that
+        has been read; the answer is given up once it returns false.
+
         The request is sent once, to the URL as given, without quoting or
         redirects. Its connection is closed after a timeout. Headers that are
         given as pairs may repeat a name.
@@ -169,7 +206,9 @@
                 timeout=timeouts,
                 allow_redirects=False,
             ) as response:
-                body_read = await response.read()
+                body_read = await read_body(
+                    response, self._max_answer_bytes, reserve
+                )
                 return HttpAnswer(response.status, body_read, response.headers)
         except CALL_ERRORS as error:
             raise make_error(f"{method} {url}", error) from error
--- a/hickorywing/poolagent.py
+++ b/hickorywing/poolagent.py
@@ -189,7 +189,7 @@
         self._log.write(
             LogEvent.STARTING, zone=settings.zone, pool=settings.pool
         )
-        http = HttpClient()
+        http = HttpClient(settings.clients.answer_bytes)
         store = PlatformStore(settings.store, http, self._metrics)
         monitor = WorkerMonitor(
             settings.name, PlatformWorker(settings.worker, http), self._log
--- a/hickorywing/poolentry.py
+++ b/hickorywing/poolentry.py
@@ -85,7 +85,7 @@
         """Serve until a stop signal, then finish the requests in progress."""
         settings = self._settings
         self._log.write(LogEvent.STARTING, zone=settings.zone)
-        http = HttpClient()
+        http = HttpClient(settings.clients.answer_bytes)
         store = PlatformStore(settings.store, http, self._metrics)
         catalog = PoolCatalog(store, self._view, self._log)
         locator = JobLocator(store, catalog, self._log)
--- a/hickorywing/routing.py
+++ b/hickorywing/routing.py
@@ -25,6 +25,7 @@
 from hickorywing.dispatch import RevokeAnswer
 from hickorywing.dispatch import RevokeRequest
 from hickorywing.dispatch import RunState
+from hickorywing.httpclient import AnswerTooLarge
 from hickorywing.httpclient import CallError
 from hickorywing.httpclient import ConnectError
 from hickorywing.httpclient import HttpAnswer
@@ -59,6 +60,8 @@
     body: bytes
     timeout_s: float
     idempotent: bool
+    # Counts memory for the answer, unless there is no room.
+    reserve: Callable[[int], bool] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -259,6 +262,7 @@
                 BYTES_TYPE
                 if content_type is None
                 else content_type.decode("latin-1"),
+                request.reserve,
             )
         except ConnectError:
             self.metrics.count("agents_not_reachable")
@@ -267,6 +271,9 @@
                 reason="backend server's agent not reachable",
                 retry_after_s=1.0,
             )
+        except AnswerTooLarge as error:
+            self.metrics.count("answers_too_large")
+            return RouteResult(RunState.UNKNOWN, reason=str(error))
         except CallError as error:
             self.metrics.count("dispatch_answers_lost")
             get_logger().warning(
--- a/hickorywing/settings.py
+++ b/hickorywing/settings.py
@@ -15,6 +15,7 @@
 from hickorywing.documents import Model
 from hickorywing.documents import ModelT
 from hickorywing.findings import FindingsError
+from hickorywing.httpclient import MAX_ANSWER_BYTES
 
 __all__ = [
     "AgentSettings",
@@ -49,9 +50,10 @@
 
 
 class ClientsModel(Model):
-    """Limits of what clients may send to a listener and leave unread.
+    """Limits of what others may send to a process and leave unread.
 
-    Sizes are in bytes, times in seconds; ``ClientLimits`` explains each.
+    Sizes are in bytes, times in seconds; ``ClientLimits`` explains
+    each. ``answer_bytes`` bounds an answer that the process reads.
     """
 
     head_bytes: int = Field(default=DEFAULT_LIMITS.head_bytes, ge=1024)
@@ -62,6 +64,7 @@
     idle_s: float = Field(default=DEFAULT_LIMITS.idle_s, gt=0)
     request_s: float = Field(default=DEFAULT_LIMITS.request_s, gt=0)
     answer_s: float = Field(default=DEFAULT_LIMITS.answer_s, gt=0)
+    answer_bytes: int = Field(default=MAX_ANSWER_BYTES, ge=65_536)
 
     def make_memory(self) -> ClientMemory:
         """Return the memory that all listeners of the process share."""
@@ -77,7 +80,7 @@
         return self._make_limits(connections, INTERNAL_SHARE)
 
     def _make_limits(self, connections: int, share: float) -> ClientLimits:
-        fields = self.model_dump()
+        fields = self.model_dump(exclude={"answer_bytes"})
         fields["connections"] = min(connections, count_descriptors_for(share))
         return ClientLimits(**fields)
 
--- a/hickorywing/zoneagent.py
+++ b/hickorywing/zoneagent.py
@@ -25,6 +25,7 @@
 from hickorywing.dispatch import DispatchServer
 from hickorywing.dispatch import RevokeAnswer
 from hickorywing.dispatch import RevokeRequest
+from hickorywing.httpclient import HttpClient
 from hickorywing.logs import get_logger
 from hickorywing.mailbox import Mailbox
 from hickorywing.mailbox import PynngMailbox
@@ -108,6 +109,7 @@
             self.clock,
             self._get_refusal,
             lambda: self.register.head.version,
+            HttpClient(settings.clients.answer_bytes),
         )
         self.members = self._make_members(worker)
         self.controller = ZoneController(
--- a/hickorywing/zoneentry.py
+++ b/hickorywing/zoneentry.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from dataclasses import dataclass
+import functools
 from pathlib import Path
 import random
 import time
@@ -76,6 +77,7 @@
 from hickorywing.web import find_header
 from hickorywing.web import report_clients
 from hickorywing.web import WebServer
+from hickorywing.webexchange import reserve_memory
 
 __all__ = ["ZoneEntry", "main"]
 
@@ -155,7 +157,7 @@
             tuple[int, int], dict[str, ZoneScheduler]
         ] = {}
         self.leaving = False
-        self.http = HttpClient()
+        self.http = HttpClient(settings.clients.answer_bytes)
         self.router = RequestRouter(
             settings.zone,
             self.metrics,
@@ -244,6 +246,7 @@
             await request.read() or b"",
             self._parse_timeout(request),
             declared_idempotent == "true",
+            functools.partial(reserve_memory, request.scope),
         )
         key = find_header(request.headers, b"idempotency-key")
         if key is None:
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -1,16 +1,19 @@
 """Test the HTTP client, and the clients of table and worker built on it."""
 
 import asyncio
+import contextlib
 import gc
 
 from platformsystem import find_free_address
 import pytest
 
+from hickorywing.httpclient import AnswerTooLarge
 from hickorywing.httpclient import CallError
 from hickorywing.httpclient import CallTimeout
 from hickorywing.httpclient import ConnectError
 from hickorywing.httpclient import ConnectRefused
 from hickorywing.httpclient import HttpClient
+from hickorywing.httpclient import MAX_ANSWER_BYTES
 from hickorywing.table import HttpTable
 from hickorywing.zoneworker import HttpWorker
 from hickorywing.zoneworker import TaskIds
@@ -141,3 +144,36 @@
         with pytest.raises(CallError):
             await http.call("POST", f"http://{address}/watch", 0.5, b"")
         await http.close()
+
+
+class TestLargeAnswers:
+    """An answer takes no more memory than there is room for."""
+
+    @pytest.mark.parametrize("size", [MAX_ANSWER_BYTES, 200_000_000])
+    async def test_size(self, size):
+        address = find_free_address()
+
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(make_head(size))
+            with contextlib.suppress(ConnectionError):
+                for _ in range(0, size, 1 << 20):
+                    writer.write(b" " * (1 << 20))
+                    await writer.drain()
+            writer.close()
+
+        host, port = address.split(":")
+        server = await asyncio.start_server(answer, host, int(port))
+        client = HttpClient()
+        url = f"http://{address}/"
+        if size <= MAX_ANSWER_BYTES:
+            assert len((await client.call("GET", url, 10)).body) == size
+            with pytest.raises(AnswerTooLarge):
+                await client.call(
+                    "GET", url, 10, reserve=lambda part: part < 1000
+                )
+        else:
+            with pytest.raises(AnswerTooLarge):
+                await client.call("GET", url, 10)
+        await client.close()
+        server.close()
