Bound log lines and events that carry what clients send

Callers saw: nothing yet; found in the table of readers. While the reader of the log is slow, 500 lines are kept, and some have a worker's name or a reason of up to 64 kB; the time line of a process of zones keeps 2,000 events, with names from announcements of up to 4 MB.

Change: the buffer of lines has 1 MiB besides; texts in a line are cut at 16,384 characters, so that a traceback stays whole, and those of an event at 1,000.

Evidence: two new cases of test_decisions fail before (32 MB buffered, a path of 4 MB written) and pass now.

--- a/hickorywing/decisions.py
+++ b/hickorywing/decisions.py
@@ -23,27 +23,34 @@
 LINES_PER_S = 50
 BURST_LINES = 200
 BUFFERED_LINES = 500
+BUFFERED_BYTES = 1 << 20
+MAX_FACT_CHARS = 16_384
 
 
 class BoundedOutput:
     """Writes lines to a file descriptor without blocking.
 
-    Up to ``BUFFERED_LINES`` lines are buffered while the reader is slow;
-    further lines are dropped and counted in ``dropped``.
+    Up to ``BUFFERED_LINES`` lines and ``BUFFERED_BYTES`` are buffered while
+    the reader is slow; further lines are dropped and counted in ``dropped``.
     """
 
     def __init__(self, descriptor: int) -> None:
         self.dropped = 0
         self._descriptor = descriptor
         self._buffer: deque[bytes] = deque()
+        self._buffered_bytes = 0
         os.set_blocking(descriptor, False)
 
     def write(self, line: bytes) -> None:
         """Write a line, or buffer it until the descriptor accepts it."""
-        if len(self._buffer) >= BUFFERED_LINES:
+        if (
+            len(self._buffer) >= BUFFERED_LINES
+            or self._buffered_bytes + len(line) > BUFFERED_BYTES
+        ):
             self.dropped += 1
             return
         self._buffer.append(line)
+        self._buffered_bytes += len(line)
         self.flush()
 
     def flush(self) -> None:
@@ -59,7 +66,9 @@
                 # reported there either.
                 self.dropped += len(self._buffer)
                 self._buffer.clear()
+                self._buffered_bytes = 0
                 return
+            self._buffered_bytes -= written
             if written < len(line):
                 self._buffer[0] = line[written:]
                 return
@@ -108,7 +117,7 @@
         """Log an event with its fields, unless it exceeds its rate limit.
 
         The first line after dropped ones has their number in
-        ``dropped_before``.
+        ``dropped_before``. Long texts, which may be a client's, are cut.
         """
         bucket = self._refill(event)
         if bucket.tokens < 1:
@@ -119,7 +128,9 @@
         if bucket.dropped:
             facts["dropped_before"] = bucket.dropped
             bucket.dropped = 0
-        self._logger.info(event, **facts)
+        self._logger.info(
+            event, **{name: shorten(fact) for name, fact in facts.items()}
+        )
 
     def _refill(self, event: str) -> TokenBucket:
         now = time.monotonic()
@@ -133,6 +144,11 @@
         return bucket
 
 
+def shorten(fact: Any) -> Any:
+    """Return a field of a line, cut if it is a long text."""
+    return fact[:MAX_FACT_CHARS] if isinstance(fact, str) else fact
+
+
 class LineSink:
     """The logger that structlog passes rendered lines to."""
 
--- a/hickorywing/timeline.py
+++ b/hickorywing/timeline.py
@@ -11,6 +11,7 @@
 __all__ = ["Event", "Timeline", "merge_events"]
 
 MAX_EVENTS = 2000
+MAX_CHARS = 1000
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -36,8 +37,9 @@
         self._number = 0
 
     def record(self, kind: str, subject: str, detail: str = "") -> None:
-        """Record a change of state and log it."""
+        """Record a change of state and log it, with its texts shortened."""
         self._number += 1
+        subject, detail = subject[:MAX_CHARS], detail[:MAX_CHARS]
         event = Event(
             time.time(), self.process, self._number, kind, subject, detail
         )
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,6 +6,7 @@
 from poolhelpers import RecordedLog
 
 from hickorywing.decisions import BoundedOutput
+from hickorywing.decisions import BUFFERED_BYTES
 from hickorywing.decisions import BUFFERED_LINES
 from hickorywing.decisions import BURST_LINES
 from hickorywing.decisions import DecisionLog
@@ -65,6 +66,21 @@
         os.close(reader)
         os.close(writer)
 
+    def test_long_lines_are_bounded_by_their_bytes(self):
+        reader, writer = os.pipe()
+        output = BoundedOutput(writer)
+        for _ in range(BUFFERED_LINES):
+            output.write(b"x" * 65_536)
+        assert sum(map(len, output._buffer)) <= BUFFERED_BYTES
+        assert output.dropped > 0
+        os.close(reader)
+        os.close(writer)
+
+    def test_long_texts_of_clients_are_cut(self):
+        output = RecordedLog()
+        make_log(output).write("refused", path="/" * (4 << 20))
+        assert len(output.lines[0]["path"]) <= 20_000
+
     def test_lines_stay_whole_when_the_reader_goes_on(self):
         reader, writer = os.pipe()
         output = BoundedOutput(writer)
