Refuse announcements with long names and lists

Callers saw: nothing yet; found in the table of readers. A heartbeat of 4 MiB may carry some hundred thousand labels. An agent keeps the announcements of several workers at a time, and their names come from the path. An agent of a zone kept the names of a back end of up to 4 MB, each change of which is an event.

Change: texts of announcements have up to 200 characters and a worker up to 100 labels, which are its kind and its rack. Others are answered with 400, as unreadable ones are, and counted as announcements_unreadable. A heartbeat may still have 4 MiB of other fields.

Evidence: test_decoding::TestAnnouncements, six cases that fail before.

--- a/hickorywing/backends.py
+++ b/hickorywing/backends.py
@@ -1,9 +1,15 @@
 """The message by which a backend server announces itself to its agent."""
 
+from typing import Annotated
+
 import msgspec
 
 __all__ = ["BackendAnnouncement"]
 
+MAX_CHARS = 200
+
+Text = Annotated[str, msgspec.Meta(max_length=MAX_CHARS)]
+
 
 class BackendAnnouncement(msgspec.Struct, frozen=True):
     """The regular announcement of a backend server to its agent.
@@ -12,8 +18,8 @@
     ``connections`` the number that it accepts.
     """
 
-    name: str
-    url: str
-    service: str
+    name: Text
+    url: Text
+    service: Text
     slots: int
     connections: int
--- a/hickorywing/platform/runner.py
+++ b/hickorywing/platform/runner.py
@@ -9,6 +9,7 @@
 ``OrderOutcome``.
 """
 
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -59,6 +60,13 @@
 }
 
 
+# Texts and lists of a heartbeat; it is kept, and others may send one.
+MAX_CHARS = 200
+MAX_LABELS = 100
+
+Text = Annotated[str, msgspec.Meta(max_length=MAX_CHARS)]
+
+
 class WireCapacity(msgspec.Struct, rename="kebab"):
     """The resources of a runner; ``cpu`` is in thousandths of a core."""
 
@@ -74,14 +82,14 @@
     ``seq`` rises with each heartbeat.
     """
 
-    service: str
-    state: str
+    service: Text
+    state: Text
     seq: Count
     capacity: WireCapacity
-    address: str
-    zone: str
+    address: Text
+    zone: Text
     born: Count
-    labels: list[str] = []
+    labels: Annotated[list[Text], msgspec.Meta(max_length=MAX_LABELS)] = []
     clock_ms: Count = 0
     remaining_ms: Count = 0
 
@@ -109,8 +117,10 @@
 def decode_announcement(name: str, body: bytes) -> WorkerAnnouncement | None:
     """Decode a heartbeat; return ``None`` if it is unreadable.
 
-    An unknown state makes it unreadable, too.
+    An unknown state or a long name makes it unreadable, too.
     """
+    if len(name) > MAX_CHARS:
+        return None
     try:
         heartbeat = decode_json(body, WireHeartbeat)
     except DecodingError:
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import json
 
 from hypothesis import given
 from hypothesis import settings
@@ -13,6 +14,7 @@
 from poolhelpers import make_job
 import pytest
 
+from hickorywing.backends import BackendAnnouncement
 from hickorywing.decoding import convert
 from hickorywing.decoding import Count
 from hickorywing.decoding import decode_json
@@ -372,6 +374,35 @@
             check(decode, count + encoded + deep, errors)
 
 
+class TestAnnouncements:
+    """What announces a worker or back end is kept, so it has to be short."""
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"labels": ["ab"] * 100_000},
+            {"labels": ["a" * 100_000]},
+            {"zone": "z" * 100_000},
+            {"address": "a" * 100_000},
+        ],
+    )
+    def test_long_heartbeat(self, changes):
+        body = json.dumps({**HEARTBEAT, **changes}).encode()
+        assert decode_announcement("i-1", json.dumps(HEARTBEAT).encode())
+        assert decode_announcement("i-1", body) is None
+
+    def test_long_name(self):
+        body = json.dumps(HEARTBEAT).encode()
+        assert decode_announcement("i" * 60_000, body) is None
+
+    def test_long_back_end(self):
+        fields = dict(name="b1", url="u", service="s", slots=1, connections=1)
+        body = json.dumps({**fields, "service": "s" * 100_000}).encode()
+        decode_json(json.dumps(fields), BackendAnnouncement)
+        with pytest.raises(DecodingError):
+            decode_json(body, BackendAnnouncement)
+
+
 class TestBounds:
     """Numbers that later calculations can't hold are not decoded."""
 
