Count what a submitted job is decoded to

Callers saw: nothing yet; found in the table of readers. A step of a job has three bytes in a body and some 300 in memory, so requests that were counted as 30 kB each held 2.7 MB while the store was written.

Change: a submission counts 1 kB a step (with its rows) in the memory of its request until it is answered; if there is no room, it is refused with 503 and has not run.

Evidence: 272 and 355 bytes a step measured (objects reachable from a job of 5,000); test_callers::test_decoded_job_needs_room fails before without room.

--- a/hickorywing/platform/callers.py
+++ b/hickorywing/platform/callers.py
@@ -45,6 +45,7 @@
 from hickorywing.web import add_any_path
 from hickorywing.web import find_header
 from hickorywing.web import make_app
+from hickorywing.webexchange import reserve_memory
 
 __all__ = ["CallerApi", "CallerLimits"]
 
@@ -59,6 +60,8 @@
 # turn to another entry too late.
 FIRST_READ_WAIT_S = 0.06
 MAX_LOGGED_CHARS = 200
+# A step in memory; in a body it may have three bytes.
+STEP_BYTES = 1024
 QUEUE_SCOPE = "hickorywing.queue"
 CUSTOMER_SCOPE = "hickorywing.customer"
 STATUSES = {
@@ -295,6 +298,11 @@
                 error=str(error),
             )
             return Response(400)
+        if not reserve_memory(request.scope, STEP_BYTES * len(job.steps)):
+            self._log.write(
+                LogEvent.REFUSED, job=job_id, reason="too many bytes pending"
+            )
+            return make_retry_response(503, 1)
         timeout_s = read_timeout_s(request, queue)
         return make_response(
             await self._job_service.submit(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from blacksheep import Content
 from blacksheep import Request
 from blacksheep import Response
 from poolhelpers import RecordedLog
@@ -10,11 +11,16 @@
 from hickorywing.clock import now_s
 from hickorywing.decisions import DecisionLog
 from hickorywing.decoding import DecodingError
+from hickorywing.jobservice import Answer
+from hickorywing.jobservice import Outcome
 from hickorywing.logevents import LogEvent
 from hickorywing.metrics import Metrics
+from hickorywing.platform.callers import CallerApi
 from hickorywing.platform.callers import CallerLimits
 from hickorywing.platform.callers import ConfigurationAgeFilter
+from hickorywing.platform.callers import CUSTOMER_SCOPE
 from hickorywing.platform.callers import decode_job
+from hickorywing.platform.callers import QUEUE_SCOPE
 from hickorywing.platform.callers import QueueFilter
 from hickorywing.platform.callers import read_timeout_s
 from hickorywing.policy.jobchecks import MAX_TASKS
@@ -22,6 +28,7 @@
 from hickorywing.poolconfig import Configuration
 from hickorywing.poolconfig import ConfigurationView
 from hickorywing.poolconfig import Queue
+from hickorywing.webexchange import MEMORY_SCOPE
 
 # A refusal must be answered within this time, so that the caller can turn to
 # another entry.
@@ -51,6 +58,16 @@
         self.view.confirm(now_s())
 
 
+class AcceptingService:
+    """Accepts jobs, and counts them."""
+
+    submitted = 0
+
+    async def submit(self, job, timeout_s, caller) -> Answer:
+        self.submitted += 1
+        return Answer(Outcome.DONE)
+
+
 class TestStart:
     """A starting entry serves requests once it has read its configuration.
 
@@ -113,6 +130,25 @@
         with pytest.raises(DecodingError, match="length"):
             decode_job("0" * 16, queue, None, body)
 
+    @pytest.mark.parametrize(("room", "status"), [(0, 503), (10**9, 200)])
+    async def test_decoded_job_needs_room(self, room, status):
+        view = ConfigurationView()
+        view.accept(Configuration(1, (), ()))
+        log = DecisionLog("e0", "entry", Metrics("e0"), RecordedLog())
+        service = AcceptingService()
+        api = CallerApi(service, view, CallerLimits(5.0), log, Metrics("e0"))
+        body = f'{{"steps":[{",".join(["{}"] * 5000)}]}}'.encode()
+        request = Request("POST", b"/0000000000000001", None)
+        request.with_content(Content(b"application/json", body))
+        queue = Queue("h", "/", QueueTerms("q", "p"))
+        request.scope = {
+            QUEUE_SCOPE: queue,
+            CUSTOMER_SCOPE: None,
+            MEMORY_SCOPE: lambda size: 5000 * 500 < size < room,
+        }
+        assert (await api.handle_submit(request)).status == status
+        assert service.submitted == (status == 200)
+
     async def test_path_in_the_log(self):
         lines = RecordedLog()
         log = DecisionLog("e0", "entry", Metrics("e0"), lines)
