Bound the claims whose outcome is still to be stored

Callers saw: nothing yet; found in the table of readers. While the table of a system of zones is away, each keyed request whose claim or outcome can't be written leaves a task that tries for an hour, some with the answer.

Change: with 1,000 such tasks, further keyed requests are refused before they claim their key, with Retry-After, and counted as claims_shed.

Evidence: test_idempotency fails before ("the table is not serving" instead).

--- a/hickorywing/idempotency.py
+++ b/hickorywing/idempotency.py
@@ -50,6 +50,8 @@
 MAX_CLAIM_RACES = 4
 # The Retry-After of requests that are refused while the table doesn't answer.
 UNSERVED_RETRY_S = 5.0
+# Claims whose outcome is still to be stored, some with the answer.
+MAX_SETTLING = 1000
 
 
 class StoredAnswer(msgspec.Struct, frozen=True):
@@ -142,6 +144,9 @@
         if wait_s is not None:
             self.metrics.count("claims_shed")
             return not_run("too many keyed requests", wait_s)
+        if len(self._settling) >= MAX_SETTLING:
+            self.metrics.count("claims_shed")
+            return not_run("too many outcomes to store", UNSERVED_RETRY_S)
         row_key = claim_key(customer, key)
         fingerprint = compute_fingerprint(request)
         for _ in range(MAX_CLAIM_RACES):
