Bound the messages between the programs of zones to 256 KiB

Callers saw: nothing yet; found in the table of readers. pynng keeps the part of a message that has arrived, up to 1 MiB a connection, on the control addresses of entries and agents of zones: 130 connections with 990 kB each took both beyond their VMs (test_messages_without_end fails before).

Change: message_bytes, a setting of 256 KiB; a connection that announces more is closed by pynng. A message about a hundred processes takes about 12 kB (worked out: some 120 bytes for each).

A bound by pynng's callbacks was tried and ended processes with SIGSEGV.

--- a/hickorywing/mailbox.py
+++ b/hickorywing/mailbox.py
@@ -19,7 +19,7 @@
 from hickorywing.messages import decode_message
 from hickorywing.messages import encode_message
 from hickorywing.messages import Envelope
-from hickorywing.messages import MAX_FRAME_BYTES
+from hickorywing.messages import MAX_MESSAGE_BYTES
 from hickorywing.metrics import Metrics
 from hickorywing.settings import TlsModel
 
@@ -61,6 +61,9 @@
 class PynngMailbox(Mailbox):
     """A mailbox on pynng: a pull socket, and a push socket for each peer.
 
+    A connection that sends a message of more than ``max_message_bytes`` is
+    closed. pynng keeps the part of a message that has arrived.
+
     A push socket sends each message once. A request socket would not do: it
     sends again when its peer is replaced.
     """
@@ -71,13 +74,14 @@
         listen: str,
         metrics: Metrics,
         tls: TlsModel | None = None,
+        max_message_bytes: int = MAX_MESSAGE_BYTES,
     ) -> None:
         self.name = name
         self.address = listen
         self.metrics = metrics
         self._tls = tls
         self._links: dict[str, Link] = {}
-        self._inbox = pynng.Pull0(recv_max_size=MAX_FRAME_BYTES)
+        self._inbox = pynng.Pull0(recv_max_size=max_message_bytes)
         if tls is not None:
             self._inbox.tls_config = make_tls(tls, server=True)
         self._inbox.listen(self._url(listen))
--- a/hickorywing/messages.py
+++ b/hickorywing/messages.py
@@ -36,6 +36,9 @@
 ]
 
 MAX_FRAME_BYTES = 1 << 20
+# By default the largest message that is received. One about a hundred
+# processes takes about 12 kB.
+MAX_MESSAGE_BYTES = 256 << 10
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/hickorywing/settings.py
+++ b/hickorywing/settings.py
@@ -16,6 +16,8 @@
 from hickorywing.documents import ModelT
 from hickorywing.findings import FindingsError
 from hickorywing.httpclient import MAX_ANSWER_BYTES
+from hickorywing.messages import MAX_FRAME_BYTES
+from hickorywing.messages import MAX_MESSAGE_BYTES
 
 __all__ = [
     "AgentSettings",
@@ -53,7 +55,8 @@
     """Limits of what others may send to a process and leave unread.
 
     Sizes are in bytes, times in seconds; ``ClientLimits`` explains
-    each. ``answer_bytes`` bounds an answer that the process reads.
+    each. ``answer_bytes`` bounds an answer that the process reads,
+    ``message_bytes`` a message of another process of the system.
     """
 
     head_bytes: int = Field(default=DEFAULT_LIMITS.head_bytes, ge=1024)
@@ -65,6 +68,9 @@
     request_s: float = Field(default=DEFAULT_LIMITS.request_s, gt=0)
     answer_s: float = Field(default=DEFAULT_LIMITS.answer_s, gt=0)
     answer_bytes: int = Field(default=MAX_ANSWER_BYTES, ge=65_536)
+    message_bytes: int = Field(
+        default=MAX_MESSAGE_BYTES, ge=1024, le=MAX_FRAME_BYTES
+    )
 
     def make_memory(self) -> ClientMemory:
         """Return the memory that all listeners of the process share."""
@@ -80,7 +86,7 @@
         return self._make_limits(connections, INTERNAL_SHARE)
 
     def _make_limits(self, connections: int, share: float) -> ClientLimits:
-        fields = self.model_dump(exclude={"answer_bytes"})
+        fields = self.model_dump(exclude={"answer_bytes", "message_bytes"})
         fields["connections"] = min(connections, count_descriptors_for(share))
         return ClientLimits(**fields)
 
--- a/hickorywing/zoneentry.py
+++ b/hickorywing/zoneentry.py
@@ -594,7 +594,13 @@
         settings,
         time.time_ns() // 1_000_000,
         HttpTable(settings.table),
-        PynngMailbox(settings.name, settings.control, metrics, settings.tls),
+        PynngMailbox(
+            settings.name,
+            settings.control,
+            metrics,
+            settings.tls,
+            settings.clients.message_bytes,
+        ),
         metrics,
     )
     await entry.run()
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -105,6 +105,19 @@
     ),
 }
 
+# The greeting of a peer of the zone programs, and a message without an end.
+MESSAGE = Visit(
+    b"\0SP\0\0\x50\0\0" + (1_000_000).to_bytes(8, "big") + b"m" * 990_000,
+    130,
+    answered=False,
+)
+# Messages of the largest size that is received, almost.
+SHORT_MESSAGE = Visit(
+    b"\0SP\0\0\x50\0\0" + (260_000).to_bytes(8, "big") + b"m" * 259_000,
+    400,
+    answered=False,
+)
+
 
 def read_status_kb(pid: int, name: str) -> int:
     """Return a size in kB from a process's status."""
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -20,7 +20,9 @@
 from crowd import MAX_GROWTH_BYTES
 from crowd import MAX_IDLE_DESCRIPTORS
 from crowd import MAX_NEW_DESCRIPTORS
+from crowd import MESSAGE
 from crowd import SCALE
+from crowd import SHORT_MESSAGE
 from crowd import TINY_HEADERS
 from crowd import Visit
 from crowd import VISITS
@@ -233,3 +235,23 @@
             await wait_for_status(system, NORTH, job, "done")
             check_growth(growth, crowd)
         assert popen.poll() is None
+
+    @pytest.mark.parametrize("process", ["entry-1", "agent-a1"])
+    async def test_messages_without_end(self, system, process):
+        """Parts of messages are bounded in size."""
+        await self.send_messages(system, process, MESSAGE)
+
+    @pytest.mark.parametrize("process", ["entry-1", "agent-a1"])
+    async def test_many_short_messages_without_end(self, system, process):
+        """The connections of peers are bounded in number."""
+        await self.send_messages(system, process, SHORT_MESSAGE)
+
+    async def send_messages(self, system, process, message: Visit) -> None:
+        popen = system.processes[process].popen
+        growth = Growth(popen.pid)
+        with Crowd(system.control[process]) as crowd:
+            await crowd.visit(message, lambda: growth.fits(VM_BYTES[process]))
+            job = await submit(system, NORTH, cores=1, run_s=0.1)
+            await wait_for_status(system, NORTH, job, "done")
+            check_peak(growth, process)
+        assert popen.poll() is None
