--- a/hickorywing/clientmemory.py
+++ b/hickorywing/clientmemory.py
@@ -25,7 +25,7 @@
 ]
 
 # An open connection without a request: transport, parser and protocol.
-CONNECTION_BYTES = 8 << 10
+CONNECTION_BYTES = 9 << 10
 # A request that waits or runs, beside its bytes.
 REQUEST_BYTES = 6 << 10
 # A header: its tuple, the objects of name and value, and places in lists.
