Search only the connections that can release something

Callers would see: with requests that run over pending_bytes, which a store outage brings about, each further request searched all connections, up to 3,072, though none could give way (from the code, not run).

Change: ClientMemory knows the holders that have something to release, so a search is as long as what it frees. Listeners needn't register any more.

Evidence: test_clientroom::test_requests_that_run_leave_no_search.

--- a/hickorywing/clientmemory.py
+++ b/hickorywing/clientmemory.py
@@ -8,8 +8,6 @@
 
 from abc import ABC
 from abc import abstractmethod
-from collections.abc import Callable
-from collections.abc import Iterable
 
 from hickorywing.policy.clientroom import choose_holders
 from hickorywing.policy.clientroom import HeldMemory
@@ -75,24 +73,28 @@
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
-        self._sources: list[Callable[[], Iterable[MemoryHolder]]] = []
+        # Those that may have something to release, of all listeners.
+        self._holders: dict[MemoryHolder, None] = {}
         self._making_room = False
 
-    def add_source(
-        self, list_holders: Callable[[], Iterable[MemoryHolder]]
-    ) -> None:
-        """Add a listener, whose connections may have to release memory."""
-        self._sources.append(list_holders)
-
     def hold(self, change: int, holder: MemoryHolder | None = None) -> None:
         """Count bytes that are held from now on, or released.
 
         If they are too many, connections give way, ``holder`` among them.
         """
         self.held_bytes += change
+        if holder is not None:
+            if holder.describe_held().releasable_bytes:
+                self._holders[holder] = None
+            else:
+                self._holders.pop(holder, None)
         if change > 0 and self.held_bytes > self.limit_bytes:
             self._make_room(holder)
 
+    def forget(self, holder: MemoryHolder) -> None:
+        """Drop a holder that has released all it held."""
+        self._holders.pop(holder, None)
+
     def reserve(self, size: int, own_bytes: int) -> bool:
         """Count bytes that a handler needs, unless there is no room.
 
@@ -112,11 +114,7 @@
             return
         self._making_room = True
         try:
-            holders = [
-                holder
-                for list_holders in self._sources
-                for holder in list_holders()
-            ]
+            holders = list(self._holders)
             held = [holder.describe_held() for holder in holders]
             chosen = choose_holders(held, self.held_bytes, self.limit_bytes)
             for position in chosen:
--- a/hickorywing/webconnection.py
+++ b/hickorywing/webconnection.py
@@ -84,7 +84,6 @@
         super().__init__(config, server_state, app_state, _loop)
         self._listener = listener
         self._memory = listener.memory
-        self._is_listed = False
         self._running: Exchange | None = None
         # Received while enough requests wait; reading is paused meanwhile.
         self._unparsed = b""
@@ -116,8 +115,7 @@
         super().connection_made(transport)
         # All that the network doesn't take at once counts as unread.
         transport.set_write_buffer_limits(high=0)
-        self._is_listed = self._listener.add(self)
-        if self._is_listed:
+        if self._listener.add(self):
             return
         if not self._listener.add_refused():
             self._listener.report("too many connections")
@@ -151,6 +149,7 @@
         self._unparsed = b""
         self._paused = False
         self._drop_request()
+        self._memory.forget(self)
 
     def _drop_request(self) -> None:
         """Drop the request that is being read, and count anew."""
@@ -499,8 +498,8 @@
         """Go on with answers that the client reads again."""
         super().resume_writing()
         self._unread_since_s = None
-        self._memory.hold(-self._unread_bytes)
-        self._unread_bytes = 0
+        unread_bytes, self._unread_bytes = self._unread_bytes, 0
+        self._memory.hold(-unread_bytes, self)
         if self._running is None:
             self._advance()
 
--- a/hickorywing/weblistener.py
+++ b/hickorywing/weblistener.py
@@ -40,7 +40,6 @@
         self._find_configured = find_configured
         self._connections: ConnectionOrder[Connection] = ConnectionOrder()
         self._refused_connections = 0
-        memory.add_source(self._connections.list)
 
     @property
     def held_bytes(self) -> int:
--- a/tests/test_clientroom.py
+++ b/tests/test_clientroom.py
@@ -26,7 +26,7 @@
 
     def make_room(self) -> None:
         size, self.size = self.size, 0
-        self.memory.hold(-size)
+        self.memory.hold(-size, self)
 
 
 class TestChoice:
@@ -76,20 +76,21 @@
 
     def test_holder_of_another_listener_makes_room(self):
         memory = ClientMemory(100)
-        holders: list[Holder] = []
-        memory.add_source(lambda: holders[:1])
-        memory.add_source(lambda: holders[1:])
-        holders.append(Holder(memory, 80))
-        holders.append(Holder(memory, 30))
+        holders = [Holder(memory, 80), Holder(memory, 30)]
         assert [holder.size for holder in holders] == [0, 30]
         assert memory.held_bytes == 30
 
     def test_single_request_may_exceed_the_limit(self):
         memory = ClientMemory(100)
-        holders: list[Holder] = []
-        memory.add_source(lambda: holders)
-        holders.append(Holder(memory, 150))
-        assert holders[0].size == 150
+        assert Holder(memory, 150).size == 150
+
+    def test_requests_that_run_leave_no_search(self):
+        memory = ClientMemory(100)
+        running = [Holder(memory, 0, running=40) for _ in range(5)]
+        newest = Holder(memory, 10)
+        assert newest.size == 0
+        assert [holder.running for holder in running] == [40] * 5
+        assert not memory._holders
 
     def test_handler_gets_no_more_than_there_is(self):
         memory = ClientMemory(100)
