Leave out of the reader's count what the application makes once

Cause: one of some hundred drawn cases failed by 212 bytes and then passed when played again: parts that an application makes with its first request counted as a connection's. Seen with HICKORYWING_EXAMPLES=1500 on.

Change: the test serves one request before it notes what is shared.

--- a/tests/test_readerproperties.py
+++ b/tests/test_readerproperties.py
@@ -159,6 +159,16 @@
         self.config = self.server._server.config
         self.config.load()
         self.state = ServerState()
+        self.shared: list[object] = []
+
+    async def warm_up(self) -> None:
+        """Serve one request, as an application makes some parts with it."""
+        wire = self.connect()
+        wire.protocol.data_received(make_request(b"/read", b"", 10, 0))
+        await settle()
+        wire.abort()
+        await settle()
+        self.wires.clear()
         self.shared = list_reachable([self.server, self.config], set())
 
     async def answer(self, request: Request) -> Response:
@@ -261,6 +271,7 @@
 
 async def play(actions: list[tuple], pieces: list[int]) -> None:
     reader = Reader()
+    await reader.warm_up()
     clients = [reader.connect() for _ in range(CLIENTS)]
     loop = asyncio.get_running_loop()
     await settle()
