--- a/review/rig3/runner.py
+++ b/review/rig3/runner.py
@@ -47,6 +47,11 @@
         self.labels = ["a", "r1"]
         self.state = "ready"
         self.remaining_ms = 0
+        # When the last status report was sent.
+        self.beat_s = 0.0
+        self.answers: dict[str, int] = {}
+        # When a lease has expired, whether anything ran or not.
+        self.lapses_s: list[float] = []
         self.acked_s: dict[tuple[str, int], float] = {}
         self._service = service
         self._zone = zone
@@ -60,6 +65,7 @@
         self._seq = 0
         self._fence = 0
         self._until_ms = 0
+        self._is_lapsed = True
         self.tasks: dict[str, Task] = {}
         self._closed: dict[str, int] = {}
         self.ended: list[list] = []
@@ -102,6 +108,7 @@
 
     async def send_beat(self) -> None:
         """Send one status report."""
+        self.beat_s = time.monotonic()
         body = json.dumps(self.make_beat()).encode()
         path = f"/instances/{self.name}"
         await call(self.control, "PUT", path, body, timeout_s=1.0)
@@ -118,6 +125,9 @@
         while True:
             now_s = time.monotonic()
             lapsed = self.clock_ms() > self._until_ms
+            if lapsed and self._until_ms and not self._is_lapsed:
+                self.lapses_s.append(now_s)
+            self._is_lapsed = lapsed
             for task in list(self.tasks.values()):
                 if lapsed:
                     self._end(task, "lapsed")
@@ -152,8 +162,13 @@
                     status, data = self._stop(body)
                 elif request.path == "/hold":
                     status, data = await self._hold(body)
+            self._count_answer(request.path, status, data)
         return status, {"clock-ms": self.clock_ms(), "born": self.born, **data}
 
+    def _count_answer(self, path: str, status: int, data: dict) -> None:
+        key = f"{path} {status} {data.get('reason', '')}".rstrip()
+        self.answers[key] = self.answers.get(key, 0) + 1
+
     def _extend(self, body: dict) -> None:
         limit_ms = self.clock_ms() + HOLD_MAX_MS
         wanted_ms = min(body.get("until-ms", 0), limit_ms)
--- a/review/rig3/store.py
+++ b/review/rig3/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 from collections import deque
+import sys
 import time
 
 from review.rig3.wire import Call
@@ -36,13 +37,15 @@
 class Store:
     """Rows of versioned values, transactions and change feeds.
 
-    While ``down`` is set the store answers nothing and does nothing.
+    While ``down`` is set the store does nothing: it answers nothing, or 503
+    to all calls if ``down`` is "busy".
     """
 
     def __init__(self) -> None:
         self.rows: dict[Key, tuple[int, bytes]] = {}
         self.ver = 0
-        self.down = False
+        self.down: bool | str = False
+        self.answer_s = ANSWER_S
         self._changes: deque[tuple[int, Key, bytes | None]] = deque(
             maxlen=HISTORY
         )
@@ -66,10 +69,12 @@
 
     async def handle(self, call: Call) -> "tuple[int, dict] | None":
         """Answer one call."""
-        await asyncio.sleep(ANSWER_S)
-        if self.down:
-            return None
         name = call.path.strip("/")
+        if name == "stand-in":
+            return self._control(call.decode())
+        await asyncio.sleep(self.answer_s)
+        if self.down:
+            return (503, {}) if self.down == "busy" else None
         if name == "rows-tx":
             status, data = self._handle_tx(call.decode())
         elif name == "rows-get":
@@ -81,9 +86,18 @@
         else:
             status, data = 404, {}
         if self.down:
-            return None
+            return (503, {}) if self.down == "busy" else None
         return status, {"ver": self.ver, **data, "now-ms": clock_ms()}
 
+    def _control(self, body: dict) -> tuple[int, dict]:
+        """Carry out what a case wants of the stand-in."""
+        self.down = body.get("down", self.down)
+        self.answer_s = body.get("answer-s", self.answer_s)
+        if "value" in body:
+            value = base64.b64decode(body["value"])
+            self.put(*get_key(body), value)
+        return 200, {"ver": self.ver}
+
     def _handle_tx(self, body: dict) -> tuple[int, dict]:
         expects = body.get("expect-rev", [])
         puts = body.get("put", [])
@@ -175,3 +189,14 @@
 def clock_ms() -> int:
     """Return the store's steady clock in milliseconds."""
     return int(time.monotonic() * 1000)
+
+
+async def serve(address: str) -> None:
+    """Serve a store until the process is ended."""
+    store = Store()
+    await store.server.start(address)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(sys.argv[1]))
--- a/review/rig3/system.py
+++ b/review/rig3/system.py
@@ -1,6 +1,7 @@
 """A small deployment of the project's programs on loopback."""
 
 import asyncio
+import base64
 from collections.abc import Iterable
 import itertools
 import json
@@ -15,7 +16,6 @@
 import tomllib
 
 from review.rig3.runner import Runner
-from review.rig3.store import Store
 from review.rig3.wire import call
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -157,14 +157,16 @@
 class System:
     """A store, runners with their agents, and entries.
 
-    ``record`` is the file that says what was sent, answered and run. The
-    stand-ins run in this process, the programs in processes of their own.
+    ``record`` is the file that says what was sent, answered and run. Runners
+    and clients run in this process, the store and the programs in processes
+    of their own.
     """
 
     def __init__(
         self, folder: Path, record: Path, entries: int, runners: int
     ) -> None:
-        self.store = Store()
+        self.store_address = find_address()
+        self._store: subprocess.Popen | None = None
         self.runners: dict[str, Runner] = {}
         self.programs: dict[str, Process] = {}
         self.fronts: dict[str, str] = {}
@@ -184,9 +186,12 @@
         self._record.flush()
 
     async def __aenter__(self) -> "System":
-        self.store.put("op", "", "config", make_config(3))
-        self.store_address = find_address()
-        await self.store.server.start(self.store_address)
+        self._start_store()
+        await self.wait(
+            lambda: self.put_operator_row("config", make_config(3)),
+            START_S,
+            "the store serves",
+        )
         entries, runners = self._counts
         for number in range(runners):
             await self.add_runner(f"m{number}", f"z{number % 3}")
@@ -202,10 +207,14 @@
     async def __aexit__(self, *_: object) -> None:
         for program in self.programs.values():
             program.kill()
+        if self._store is not None:
+            self._store.kill()
+            self._store.wait()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for runner in self.runners.values():
+            self._record.write(f"answers of {runner.name}: {runner.answers}\n")
             for at_s, event, task, run in runner.history:
                 self._record.write(
                     f"{at_s - self._began_s:8.3f} runner {runner.name}:"
@@ -213,6 +222,24 @@
                 )
         self._record.close()
 
+    async def control_store(self, **fields: object) -> bool:
+        """Set how the store behaves, such as ``down`` or ``answer-s``."""
+        body = json.dumps(fields).encode()
+        answer = await call(self.store_address, "POST", "/stand-in", body)
+        return answer is not None
+
+    async def put_operator_row(self, key: str, value: bytes) -> bool:
+        """Write a row of the operator's; return whether that worked."""
+        return await self.control_store(
+            table="op", key=key, value=base64.b64encode(value).decode()
+        )
+
+    def _start_store(self) -> None:
+        command = [sys.executable, "-m", "review.rig3.store"]
+        self._store = subprocess.Popen(
+            [*command, self.store_address], cwd=ROOT, stdin=subprocess.DEVNULL
+        )
+
     def _add_program(self, name: str, role: str, fields: dict) -> None:
         """Write the settings of a program and start it."""
         role_fields = self._roles[role]
@@ -374,6 +401,10 @@
         status, data = answer
         return data.get("state", "") if status == 200 else str(status)
 
+    def find_runner(self, name: str) -> Runner:
+        """Return a runner by its id."""
+        return self.runners[name.removeprefix("i-")]
+
     def list_history(self) -> list[tuple[float, str, str, int, str]]:
         """Return the events at all runners in order of time."""
         return sorted(
